--- a/src/bin/martenbank-adapter/main.rs
+++ b/src/bin/wharfplank-benchlink/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use martenbank::{Action, Event, Micros, Router};
+use wharfplank::routing::{Action, Event, Micros, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use wire::{Dialect, Fault, Message};
@@ -149,7 +149,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("martenbank-adapter: {message}");
+            eprintln!("wharfplank-benchlink: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/bin/martenbank-adapter/wire.rs
+++ b/src/bin/wharfplank-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! Translates between the wire's lines and the interface of the module.
 
-use martenbank::{
+use wharfplank::routing::{
     Action, AttemptNo, Class, ClassId, Consistency, Effect, Ending, Entry, Event, GroupId, HostId, Listed,
     Micros, Outcome, Probed, Request, RequestId, Role, SessionKey, Settings, WhenBehind,
 };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver for tests of the module.
 #![allow(dead_code)]
 
-use martenbank::*;
+use wharfplank::routing::*;
 
 pub const ANY: ClassId = ClassId(0);
 pub const BOUNDED: ClassId = ClassId(1);
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use martenbank::*;
+use wharfplank::routing::*;
 
 #[test]
 fn any_read_goes_to_a_replica_without_a_probe() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use martenbank::*;
+use wharfplank::routing::*;
 
 fn unknown_primary(max_attempts: u32) -> Bench {
     let entries = (1..=4).map(|h| entry(h, false)).collect();
