--- a/src/bin/wharfplank-benchlink/main.rs
+++ b/src/bin/wharfplank-benchlink/main.rs
@@ -3,10 +3,11 @@
 
 mod wire;
 
-use wharfplank::routing::{Action, Event, Micros, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
-use wire::{Dialect, Fault, Message};
+use wharfplank::routing::settings::Fault;
+use wharfplank::routing::{Action, Event, Micros, Router};
+use wire::{Dialect, Message};
 
 struct Instance {
     router: Router,
--- /dev/null
+++ b/src/program/broker.rs
@@ -0,0 +1,442 @@
+//! The broker: it alone owns the router and the tables of requests and attempts. It feeds the drivers'
+//! events to the router and carries its actions out.
+
+use super::clock::Clock;
+use super::config::{Config, SEND_MARGIN};
+use crate::protocol::catalog::{Catalog, Health, Host};
+use crate::protocol::client;
+use crate::routing::settings::Terms;
+use crate::routing::{
+    self, Action, AttemptNo, ClassId, Ending, Entry, GroupId, HostId, Listed, Micros, Outcome, Probed,
+    Request, RequestId, Role, Router, SessionKey,
+};
+use crate::transport::clients::Clients;
+use crate::transport::members::{Member, Report, Shared, Stage};
+use crate::transport::{Answer, Asked, Event, Statement, Ticket};
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::future;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The client counts its wait from its own send: answers are due this much earlier here.
+const ANSWER_MARGIN: Micros = 5_000;
+/// What is left of a send's margin when its last byte must be out.
+const WRITE_MARGIN: Micros = 2_000;
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pools are tended at this pace.
+const TEND: Micros = 1_000_000;
+/// The front is told that queries can be served once discovery has answered and a member is connected,
+/// or after these times: a proxy that is cut off still answers.
+const DISCOVERY_WAIT: Micros = 500_000;
+const READY_WAIT: Micros = 3_000_000;
+/// After the signal to end: new connections are taken for the first, and what is open after the second
+/// is given up.
+const CLOSE_AFTER: Micros = 700_000;
+const GIVE_UP_AFTER: Micros = 3_200_000;
+/// Time for the last answers to be written.
+const LAST_WORDS: Micros = 100_000;
+
+struct Open {
+    ticket: Ticket,
+    statement: Rc<Statement>,
+    answer: Sender<Answer>,
+    attempts: u32,
+}
+
+struct Flight {
+    host: HostId,
+    sent: Micros,
+    stage: Rc<Cell<Stage>>,
+    /// Dropping it closes the attempt's connection.
+    task: Task<()>,
+}
+
+/// The broker.
+pub struct Broker {
+    clock: Clock,
+    router: Router,
+    terms: Terms,
+    max_attempts: u32,
+    shared: Rc<Shared>,
+    clients: Rc<Clients>,
+    events: Sender<Event>,
+    requests: HashMap<RequestId, Open>,
+    tickets: HashMap<Ticket, RequestId>,
+    flights: HashMap<(RequestId, u32), Flight>,
+    members: BTreeMap<HostId, Rc<Member>>,
+    names: HashMap<String, HostId>,
+    timers: BinaryHeap<Reverse<Micros>>,
+    /// Outcomes that are known at once; the router hears of them after the event in hand.
+    ended: VecDeque<(RequestId, u32, HostId, Micros, Ending)>,
+    started: Micros,
+    told: bool,
+    ready: bool,
+    tend_at: Micros,
+    leaving_at: Option<Micros>,
+    closed: bool,
+    gave_up: bool,
+}
+
+impl Broker {
+    /// A broker with nothing in its tables.
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        shared: Rc<Shared>,
+        clients: Rc<Clients>,
+        events: Sender<Event>,
+    ) -> Self {
+        let now = clock.now();
+        Broker {
+            clock,
+            router: Router::new(config.settings.clone()),
+            terms: config.terms.clone(),
+            max_attempts: config.settings.max_attempts,
+            shared,
+            clients,
+            events,
+            requests: HashMap::new(),
+            tickets: HashMap::new(),
+            flights: HashMap::new(),
+            members: BTreeMap::new(),
+            names: HashMap::new(),
+            timers: BinaryHeap::new(),
+            ended: VecDeque::new(),
+            started: now,
+            told: false,
+            ready: false,
+            tend_at: now + TEND,
+            leaving_at: None,
+            closed: false,
+            gave_up: false,
+        }
+    }
+
+    /// Works until the process is to end.
+    pub async fn run(mut self, known: Catalog, received: Receiver<Event>) {
+        let mut actions = Vec::new();
+        self.router.start(&mut actions);
+        self.perform(actions);
+        // The list as last known may be old, but nothing else is known yet: it counts as whole.
+        self.list(Catalog { whole: true, ..known });
+        loop {
+            let wake_at = self.wake_at();
+            let pause = Duration::from_micros((wake_at - self.clock.now()).max(0) as u64);
+            let timer = async {
+                Timer::after(pause).await;
+                None
+            };
+            match future::or(async { received.recv().await.ok() }, timer).await {
+                Some(event) => self.event(event),
+                None if received.is_closed() => return,
+                None => {}
+            }
+            self.due();
+            if self.over() {
+                return;
+            }
+        }
+    }
+
+    fn wake_at(&self) -> Micros {
+        let timer = self.timers.peek().map_or(Micros::MAX, |Reverse(at)| *at);
+        let stage = match self.leaving_at {
+            Some(at) if self.closed => (at + GIVE_UP_AFTER).min(self.clock.now() + LAST_WORDS / 4),
+            Some(at) => at + CLOSE_AFTER,
+            None => Micros::MAX,
+        };
+        let ready = if self.ready { Micros::MAX } else { self.clock.now() + 10_000 };
+        timer.min(stage).min(ready).min(self.tend_at)
+    }
+
+    /// What the clock alone brings about.
+    fn due(&mut self) {
+        let now = self.clock.now();
+        while self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+            self.timers.pop();
+            self.tell(routing::Event::Timer);
+        }
+        if now >= self.tend_at {
+            self.tend_at = now + TEND;
+            self.members.values().for_each(|m| m.tend());
+        }
+        if !self.ready {
+            let age = now - self.started;
+            let told = self.told || age >= DISCOVERY_WAIT;
+            let warm = self.members.values().any(|m| m.warm()) || age >= READY_WAIT;
+            if told && warm && !self.members.is_empty() {
+                self.ready = true;
+                self.clients.ready();
+            }
+        }
+        let Some(leaving_at) = self.leaving_at else { return };
+        if !self.closed && now >= leaving_at + CLOSE_AFTER {
+            self.closed = true;
+            self.clients.close();
+        }
+        if !self.gave_up && now >= leaving_at + GIVE_UP_AFTER {
+            self.gave_up = true;
+            self.tell(routing::Event::Close);
+        }
+    }
+
+    fn over(&self) -> bool {
+        let Some(leaving_at) = self.leaving_at else { return false };
+        let done = self.requests.is_empty() && self.clients.open() == 0;
+        (self.closed && done) || self.clock.now() >= leaving_at + GIVE_UP_AFTER + LAST_WORDS
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Asked(asked) => self.asked(*asked),
+            Event::Gone(ticket) => {
+                if let Some(id) = self.tickets.remove(&ticket) {
+                    self.requests.remove(&id);
+                    self.tell(routing::Event::Gone(id));
+                }
+            }
+            Event::Attempt { id, attempt, report } => self.attempt_ended(id, attempt, report),
+            Event::Probed { host, report } => self.probed(host, report),
+            Event::List(catalog) => {
+                self.told = true;
+                self.list(catalog);
+            }
+            Event::Terminate => {
+                if self.leaving_at.is_none() {
+                    self.leaving_at = Some(self.clock.now());
+                    self.clients.leave();
+                }
+            }
+        }
+    }
+
+    /// Tells the router, carries out what it does, and tells it what that ends at once.
+    fn tell(&mut self, event: routing::Event) {
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let mut actions = Vec::new();
+            self.router.handle(self.clock.now(), event, &mut actions);
+            self.perform(actions);
+            next = self.ended.pop_front().map(|(id, attempt, host, sent, ending)| {
+                self.outcome(id, attempt, host, sent, &Report { ending, answer: None })
+            });
+        }
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        let Some(class) = self.terms.names.iter().position(|name| *name == asked.class) else {
+            let _ = asked.answer.try_send(Answer::UnknownClass);
+            return;
+        };
+        let now = self.clock.now();
+        let id = request_id(asked.ticket, &asked.id);
+        let request = Request {
+            id,
+            class: ClassId(class),
+            group: GroupId(asked.group),
+            key: asked.key.map(|key| SessionKey(hash(key.as_bytes()))),
+            give_up_at: now + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
+            write_age: asked.after_ms.map(|ms| now - ms.saturating_mul(1000)),
+        };
+        let Asked { ticket, statement, answer, .. } = asked;
+        self.tickets.insert(ticket, id);
+        self.requests.insert(id, Open { ticket, statement, answer, attempts: 0 });
+        self.tell(routing::Event::Request(request));
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(open) = self.requests.remove(&id) {
+            self.tickets.remove(&open.ticket);
+            // A client that has just left does not take it.
+            let _ = open.answer.try_send(answer);
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { id, host, timeout, holds_until } => self.send(id, host, timeout, holds_until),
+                Action::Refuse { id, retry_after } => {
+                    self.answer(id, Answer::Refused((retry_after + 999) / 1000))
+                }
+                Action::Fail(id) => self.answer(id, Answer::Failed),
+                Action::Cancel { id, attempt } => self.end(id, attempt.0, Ending::Cancelled),
+                Action::Probe(host) => self.probe(host),
+                Action::Timer(span) => self.timers.push(Reverse(self.clock.now() + span)),
+                // The watch on discovery always runs.
+                Action::Follow => {}
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, host: HostId, timeout: Micros, holds_until: Option<Micros>) {
+        let now = self.clock.now();
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let member = self.members.get(&host).filter(|_| attempt < self.max_attempts);
+        let Some(member) = member else {
+            self.ended.push_back((id, attempt, host, now, Ending::Moot));
+            return;
+        };
+        let stage = Rc::default();
+        let span = |micros: Micros| Duration::from_micros(micros.max(0) as u64);
+        let holds = holds_until.map(|until| span(until + SEND_MARGIN - WRITE_MARGIN - now));
+        let (member, statement) = (Rc::clone(member), Rc::clone(&open.statement));
+        let work = member.attempt(statement, Rc::clone(&stage), span(timeout), holds);
+        let events = self.events.clone();
+        let task = self.shared.executor.spawn(async move {
+            let report = work.await;
+            let _ = events.send(Event::Attempt { id, attempt, report }).await;
+        });
+        self.flights.insert((id, attempt), Flight { host, sent: now, stage, task });
+    }
+
+    /// Ends an attempt from this side: its connection closes.
+    fn end(&mut self, id: RequestId, attempt: u32, ending: Ending) {
+        if let Some(flight) = self.flights.remove(&(id, attempt)) {
+            drop(flight.task);
+            self.ended.push_back((id, attempt, flight.host, flight.sent, ending));
+        }
+    }
+
+    fn attempt_ended(&mut self, id: RequestId, attempt: u32, mut report: Report) {
+        let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
+        if report.ending == Ending::Ok {
+            if let Some(answer) = &mut report.answer {
+                self.answer(id, Answer::Served(std::mem::take(&mut answer.messages)));
+            }
+        }
+        let outcome = self.outcome(id, attempt, flight.host, flight.sent, &report);
+        self.tell(outcome);
+    }
+
+    fn outcome(&self, id: RequestId, attempt: u32, host: HostId, sent: Micros, r: &Report) -> routing::Event {
+        let primary = r.answer.as_ref().and_then(|a| a.primary);
+        let position = r.answer.as_ref().and_then(|a| a.applied_ms);
+        routing::Event::Outcome(Outcome {
+            id,
+            attempt: AttemptNo(attempt),
+            host,
+            ending: r.ending,
+            terminal: !self.requests.contains_key(&id),
+            latency: self.clock.now() - sent,
+            role: primary.map(role),
+            position: position.filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1000)),
+        })
+    }
+
+    fn probe(&mut self, host: HostId) {
+        let Some(member) = self.members.get(&host) else { return };
+        let (member, events) = (Rc::clone(member), self.events.clone());
+        let task = async move {
+            let report = member.probe(PROBE_TIMEOUT).await;
+            let _ = events.send(Event::Probed { host, report }).await;
+        };
+        self.shared.executor.spawn(task).detach();
+    }
+
+    fn probed(&mut self, host: HostId, report: Option<String>) {
+        let mut probed = Probed { host, ok: report.is_some(), role: None, position: None, queue: None };
+        for (name, value) in client::report(report.as_deref().unwrap_or_default()) {
+            match name {
+                "x0" => probed.position = client::seconds(value).filter(|at| *at > 0),
+                "x1" => probed.role = value.parse().ok().map(|v: f64| role(v >= 0.5)),
+                "q" | "queue" => probed.queue = value.parse().ok().filter(|v: &f64| v.is_finite()),
+                _ => {}
+            }
+        }
+        self.tell(routing::Event::Probed(probed));
+    }
+
+    fn list(&mut self, catalog: Catalog) {
+        if catalog.whole {
+            let named = |m: &Member| catalog.hosts.iter().any(|h| h.name == m.name());
+            self.members.values().filter(|m| !named(m)).for_each(|m| m.want(false, None));
+            self.members.retain(|_, m| named(m) || !m.unused());
+        }
+        let entries: Vec<Entry> = catalog.hosts.iter().map(|host| self.entry(host)).collect();
+        let event = if catalog.whole { routing::Event::List } else { routing::Event::ListChange };
+        self.tell(event(entries));
+        // What waits for a connection to a member that takes nothing new must not go out.
+        let stopped = |host: &HostId| self.members.get(host).is_none_or(|m| !m.wanted());
+        let waiting = |(key, f): (&(RequestId, u32), &Flight)| {
+            (f.stage.get() == Stage::Waiting && stopped(&f.host)).then_some(*key)
+        };
+        let mut moot: Vec<_> = self.flights.iter().filter_map(waiting).collect();
+        moot.sort_unstable();
+        for (id, attempt) in moot {
+            self.end(id, attempt, Ending::Moot);
+        }
+        if let Some((id, attempt, host, sent, ending)) = self.ended.pop_front() {
+            let outcome = self.outcome(id, attempt, host, sent, &Report { ending, answer: None });
+            self.tell(outcome);
+        }
+    }
+
+    fn entry(&mut self, listed: &Host) -> Entry {
+        let host = self.host(&listed.name);
+        let wanted = listed.health == Health::Active;
+        match (self.members.get(&host), listed.dial) {
+            (Some(member), dial) => member.want(wanted, dial),
+            (None, Some(dial)) if wanted => {
+                let member = Member::new(Rc::clone(&self.shared), &listed.name, dial);
+                member.want(true, None);
+                self.members.insert(host, member);
+            }
+            _ => {}
+        }
+        Entry {
+            host,
+            group: GroupId(listed.group),
+            listed: match listed.health {
+                Health::Active => Listed::Up,
+                Health::Leaving => Listed::Draining,
+                Health::Left => Listed::Removed,
+            },
+            primary: listed.primary,
+            launched: (listed.born_ms > 0).then(|| listed.born_ms.saturating_mul(1000)),
+            local: listed.site == self.terms.zone,
+        }
+    }
+
+    /// The module's number of a member: a hash of its name, moved on where two names share one.
+    fn host(&mut self, name: &str) -> HostId {
+        if let Some(host) = self.names.get(name) {
+            return *host;
+        }
+        let mut number = hash(name.as_bytes()) as u32;
+        while self.names.values().any(|host| host.0 == number) {
+            number = number.wrapping_add(1);
+        }
+        self.names.insert(name.to_string(), HostId(number));
+        HostId(number)
+    }
+}
+
+fn role(primary: bool) -> Role {
+    if primary {
+        Role::Primary
+    } else {
+        Role::Replica
+    }
+}
+
+/// The module's id: the ticket, which keeps equal ids of clients apart, and the client's id.
+fn request_id(ticket: Ticket, id: &str) -> RequestId {
+    let mut bytes = [b'.'; 36];
+    bytes[..16].copy_from_slice(format!("{:016x}", ticket.0).as_bytes());
+    let id = &id.as_bytes()[..id.len().min(20)];
+    bytes[16..16 + id.len()].copy_from_slice(id);
+    RequestId(bytes)
+}
+
+/// FNV-1a.
+fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
+}
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,74 @@
+//! What the proxy is told at its start, checked before anything is opened.
+
+use crate::protocol::catalog::{self, Catalog};
+use crate::routing::settings::{translate, Fields, Terms};
+use crate::routing::{Consistency, Micros, Settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// A bound counts when the last byte is sent, a little after the decision: reads are decided as if they
+/// had this much less.
+pub const SEND_MARGIN: Micros = 5_000;
+
+/// The checked configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Descriptors that may be held.
+    pub sockets: usize,
+    /// The list as it was last known.
+    pub known: Catalog,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The rest of the settings.
+    pub terms: Terms,
+}
+
+impl Config {
+    /// Reads the file that `BALANCER_CONFIG` names; the other variables come before what it says.
+    pub fn from_environment() -> Result<Self, String> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
+        let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG {path}: {e}"))?;
+        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Self::parse(&text, variable("BALANCER_LISTEN"), variable("BALANCER_DISCOVERY"))
+            .map_err(|what| format!("BALANCER_CONFIG {path}: {what}"))
+    }
+
+    /// Reads the configuration's text.
+    pub fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+        let json: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+        let address = |given: Option<String>, key: &str| {
+            let text = given.or_else(|| Some(json.get(key)?.as_str()?.to_string()));
+            let text = text.ok_or_else(|| format!("{key} is missing"))?;
+            text.parse().map_err(|_| format!("{key} '{text}' is no address"))
+        };
+        let (listen, discovery) = (address(listen, "listen")?, address(discovery, "discovery")?);
+        let object = json.get("settings").filter(|s| s.is_object()).ok_or("settings are missing")?;
+        let mut fields = Fields::from_json(object);
+        if let Some(seed) = json.get("seed") {
+            fields.put("RngSeed", read_seed(seed).ok_or("seed is no number")?.to_string());
+        }
+        let (mut settings, terms) = translate(&fields).map_err(|fault| format!("settings: {fault}"))?;
+        if settings.classes.is_empty() {
+            return Err("settings: Classes is empty".to_string());
+        }
+        for class in &mut settings.classes {
+            if let Consistency::Bounded(bound) = &mut class.consistency {
+                *bound = (*bound - SEND_MARGIN).max(0);
+            }
+        }
+        let known = json.get("known").filter(|known| !known.is_null());
+        let known = known.map_or(Ok(Catalog::default()), |known| {
+            catalog::read(known).map_err(|what| format!("known: {what}"))
+        })?;
+        let sockets = json.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
+        Ok(Config { listen, discovery, sockets: sockets as usize, known, settings, terms })
+    }
+}
+
+fn read_seed(seed: &Value) -> Option<u64> {
+    seed.as_u64().or_else(|| u64::from_str_radix(seed.as_str()?, 16).ok())
+}
--- /dev/null
+++ b/src/program/log.rs
@@ -0,0 +1,53 @@
+//! The log: one line on standard error for each ended connection.
+
+use crate::transport::Ended;
+use std::cell::Cell;
+use std::io::Write;
+use std::sync::mpsc::{sync_channel, SyncSender};
+
+/// Lines that may wait to be written; further ones are counted and dropped.
+const LINES: usize = 1024;
+
+/// Writes lines from a thread of its own: whoever reads standard error slowly must not stall serving.
+pub struct Log {
+    lines: SyncSender<String>,
+    dropped: Cell<u64>,
+}
+
+impl Log {
+    /// Starts the writer.
+    pub fn start() -> std::io::Result<Self> {
+        let (lines, received) = sync_channel::<String>(LINES);
+        let write = move || {
+            for line in received {
+                // There is nobody left to tell of an error here.
+                let _ = std::io::stderr().write_all(line.as_bytes());
+            }
+        };
+        std::thread::Builder::new().name("log".to_string()).stack_size(64 * 1024).spawn(write)?;
+        Ok(Log { lines, dropped: Cell::new(0) })
+    }
+
+    /// Notes an ended connection.
+    pub fn ended(&self, e: &Ended<'_>) {
+        let dropped = self.dropped.get();
+        let name = if e.name.is_empty() { "-" } else { e.name };
+        let mut line = format!(
+            "ended side={} peer={} name={} reason={} requests={} age_ms={}",
+            e.side,
+            e.peer,
+            name,
+            e.reason,
+            e.requests,
+            e.since.elapsed().as_millis()
+        );
+        if dropped > 0 {
+            line.push_str(&format!(" lines_dropped={dropped}"));
+        }
+        line.push('\n');
+        match self.lines.try_send(line) {
+            Ok(()) => self.dropped.set(0),
+            Err(_) => self.dropped.set(dropped + 1),
+        }
+    }
+}
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,56 @@
+//! The program: configuration, clock, broker and log.
+
+mod broker;
+pub mod clock;
+pub mod config;
+mod log;
+
+use crate::transport::clients::Clients;
+use crate::transport::{discovery, members, signals, Ends};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use clock::Clock;
+use config::Config;
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Events that may wait for the broker; past that connections wait.
+const EVENTS: usize = 1024;
+/// Descriptors kept for the listener, discovery, signals, standard streams and the reactor.
+const RESERVED: usize = 24;
+
+/// Serves until the process is asked to end.
+pub fn run(config: Config) -> Result<(), String> {
+    let listener = TcpListener::bind(config.listen);
+    let listener = listener.and_then(Async::new).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let executor = Rc::new(LocalExecutor::new());
+    let (events, received) = async_channel::bounded(EVENTS);
+    let log = log::Log::start().map_err(|e| format!("log: {e}"))?;
+    let ends: Ends = Rc::new(move |ended| log.ended(ended));
+
+    let sockets = config.sockets.saturating_sub(RESERVED).max(8);
+    let to_clients = sockets * 6 / 10;
+    let shared = Rc::new(members::Shared {
+        executor: Rc::clone(&executor),
+        ends: Rc::clone(&ends),
+        connect_timeout: Duration::from_micros(config.terms.connect_timeout.max(1) as u64),
+        idle_most: Duration::from_micros(config.terms.keepalive.max(1) as u64 * 6 / 10),
+        most: sockets - to_clients,
+        most_each: ((sockets - to_clients) / 4).max(1),
+        open: Cell::new(0),
+    });
+    let clients = Clients::new(Rc::clone(&executor), events.clone(), Rc::clone(&ends), to_clients);
+    let broker = broker::Broker::new(&config, Clock::start(), shared, Rc::clone(&clients), events.clone());
+
+    executor.spawn(Rc::clone(&clients).listen(listener)).detach();
+    executor.spawn(discovery::watch(config.discovery, events.clone(), ends)).detach();
+    let watch = signals::watch(events);
+    async_io::block_on(executor.run(async {
+        let signals = executor.spawn(watch);
+        broker.run(config.known, received).await;
+        signals.cancel().await;
+    }));
+    Ok(())
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,8 @@
+//! State machines that are fed bytes. They know no socket and no clock.
+
+pub mod buffer;
+pub mod catalog;
+pub mod client;
+pub mod comment;
+pub mod http;
+pub mod server;
--- a/src/routing/api.rs
+++ b/src/routing/api.rs
@@ -255,6 +255,8 @@
     Timer,
     /// The client is gone; nothing more is owed.
     Gone(RequestId),
+    /// The router's process ends: what is still open is given up now.
+    Close,
 }
 
 /// Something that a router does.
@@ -268,6 +270,8 @@
         host: HostId,
         /// Its time-out.
         timeout: Micros,
+        /// The send's last byte must be out by then, or the member may be too far behind for it.
+        holds_until: Option<Micros>,
     },
     /// Final answer: a further try is harmless.
     Refuse {
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -1,11 +1,11 @@
 //! Every decision of the router, with its tables, its tuned values and the state behind them.
-//! The interface (settings, events, actions, ids) is in `src/api.rs`.
+//! The interface (settings, events, actions, ids) is in `src/routing/api.rs`.
 //!
 //! Reads go to the closest replica whose cached position is new enough; on a miss one shared probe
 //! asks for that position, and a read still short goes to the primary, as do writes and fresh reads.
-//! The rest bridges failures; `docs/design.md` says when each extension acts.
+//! The rest bridges failures.
 
-use crate::api::*;
+use super::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Replicas within this share of the closest one's latency tie.
@@ -326,6 +326,9 @@
             Event::Probed(probed) => self.probed(&probed),
             Event::Timer => self.sweep(),
             Event::Gone(id) => drop(self.finish(id)),
+            Event::Close => {
+                self.pending.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id))
+            }
         }
         if self.due.is_none() && !self.pending.is_empty() {
             let held = self.groups.values().any(|g| !g.held.is_empty());
@@ -659,7 +662,12 @@
         p.probed = None;
         m.budget = budget - 1.0;
         m.budget_at = now;
-        self.out.push(Action::Send { id, host, timeout: (until - now).max(1) });
+        // A bound counts from the last byte sent, and the position ages until then; the primary's does not.
+        let holds_until = match self.settings.classes[class.0].consistency {
+            Consistency::Bounded(bound) if m.primary_at <= m.replica_at => Some(m.position + bound),
+            _ => None,
+        };
+        self.out.push(Action::Send { id, host, timeout: (until - now).max(1), holds_until });
         true
     }
 
--- /dev/null
+++ b/src/transport/clients.rs
@@ -0,0 +1,368 @@
+//! The listener and the connections of clients.
+
+use super::{within, Answer, Asked, Ended, Ends, Event, Statement, Ticket};
+use crate::protocol::comment;
+use crate::protocol::server::{Command, Server, Violation};
+use async_channel::{bounded, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use event_listener::Event as Bell;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What a client may take to say who it is, and to take an answer off its hands.
+const STARTUP_WAIT: Duration = Duration::from_secs(10);
+const WRITE_WAIT: Duration = Duration::from_secs(5);
+/// How long an error that ends a connection may take to arrive, and what is read past meanwhile.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes that are read ahead of the query in work; past that the client waits.
+const AHEAD_MOST: usize = 16 * 1024;
+/// Pause where no descriptor was left for a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// All connections of clients.
+pub struct Clients {
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<Event>,
+    ends: Ends,
+    most: usize,
+    peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
+    numbers: Cell<u64>,
+    /// Whether queries can be served: until then an empty query waits.
+    ready: Cell<bool>,
+    leaving: Cell<Leaving>,
+    bell: Bell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Leaving {
+    No,
+    /// Idle connections close; new ones are still taken.
+    Idle,
+    /// None is taken.
+    All,
+}
+
+/// What others may see of one connection.
+#[derive(Default)]
+struct Peer {
+    /// Since when it stands between requests.
+    idle: Cell<Option<Instant>>,
+    evicted: Cell<bool>,
+    /// Whether it has had an answer, or was there before the process was asked to end.
+    settled: Cell<bool>,
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    server: Server,
+    requests: u64,
+}
+
+/// What woke a connection up.
+enum Woke {
+    Read(usize),
+    Bell,
+}
+
+type Reason = &'static str;
+
+impl Clients {
+    /// No connections yet, and room for `most`.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        events: Sender<Event>,
+        ends: Ends,
+        most: usize,
+    ) -> Rc<Self> {
+        Rc::new(Clients {
+            executor,
+            events,
+            ends,
+            most,
+            peers: RefCell::default(),
+            numbers: Cell::new(0),
+            ready: Cell::new(false),
+            leaving: Cell::new(Leaving::No),
+            bell: Bell::new(),
+        })
+    }
+
+    /// How many are open.
+    pub fn open(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Empty queries are answered from now on.
+    pub fn ready(&self) {
+        self.ready.set(true);
+        self.bell.notify(usize::MAX);
+    }
+
+    /// Idle connections close from now on, and others after their answer. New ones are still taken, for
+    /// one answer each.
+    pub fn leave(&self) {
+        self.peers.borrow().values().for_each(|peer| peer.settled.set(true));
+        self.leaving.set(self.leaving.get().max(Leaving::Idle));
+        self.bell.notify(usize::MAX);
+    }
+
+    /// New connections are over, too.
+    pub fn close(&self) {
+        self.leaving.set(Leaving::All);
+        self.bell.notify(usize::MAX);
+    }
+
+    /// Takes connections until [`Clients::close`].
+    pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            let bell = self.bell.listen();
+            if self.leaving.get() == Leaving::All {
+                return;
+            }
+            let rung = async {
+                bell.await;
+                None
+            };
+            match future::or(async { Some(listener.accept().await) }, rung).await {
+                None => {}
+                Some(Ok((stream, address))) => self.admit(stream, address),
+                Some(Err(_)) => {
+                    // No descriptor left, most likely: make room, and go on.
+                    self.evict();
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn admit(self: &Rc<Self>, stream: Async<TcpStream>, address: SocketAddr) {
+        let (number, since) = (self.numbers.get(), Instant::now());
+        self.numbers.set(number + 1);
+        let full = self.open() >= self.most && !self.evict();
+        let peer = Rc::new(Peer::default());
+        self.peers.borrow_mut().insert(number, Rc::clone(&peer));
+        let clients = Rc::clone(self);
+        let task = async move {
+            let mut connection = Connection { stream, server: Server::default(), requests: 0 };
+            let reason = if full {
+                connection.fatal(Violation { code: "53300", what: "too many connections" }).await;
+                "too_many_connections"
+            } else {
+                clients.serve(&mut connection, &peer).await.unwrap_or_else(|reason| reason)
+            };
+            clients.peers.borrow_mut().remove(&number);
+            let requests = connection.requests;
+            (clients.ends)(&Ended { side: "client", peer: address, name: "", reason, requests, since });
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// Asks the connection that stood idle longest to close.
+    fn evict(&self) -> bool {
+        let peers = self.peers.borrow();
+        let idle = peers.values().filter(|p| !p.evicted.get()).filter_map(|p| Some((p.idle.get()?, p)));
+        let Some((_, peer)) = idle.min_by_key(|(since, _)| *since) else { return false };
+        peer.evicted.set(true);
+        self.bell.notify(usize::MAX);
+        true
+    }
+
+    /// Serves one connection to its end, and says why it ended.
+    async fn serve(&self, c: &mut Connection, peer: &Peer) -> Result<Reason, Reason> {
+        let _ = c.stream.get_ref().set_nodelay(true);
+        let startup = Instant::now() + STARTUP_WAIT;
+        let mut started = false;
+        loop {
+            let asked = match c.server.advance() {
+                Ok(None) => {
+                    c.flush().await?;
+                    let idle = started && c.server.buffer.bytes().is_empty();
+                    peer.idle.set(idle.then(Instant::now));
+                    let read = self.read_on(c, peer, idle);
+                    let read = if started { Some(read.await) } else { within(startup, read).await };
+                    peer.idle.set(None);
+                    match read.unwrap_or(Err("startup_timeout"))? {
+                        0 => return Ok("client_closed"),
+                        _ => continue,
+                    }
+                }
+                Ok(Some(Command::Started)) => {
+                    started = true;
+                    continue;
+                }
+                Ok(Some(Command::Empty)) => None,
+                Ok(Some(Command::Terminate)) => return Ok("terminated"),
+                Ok(Some(Command::Cancel)) => return Ok("cancel_request"),
+                Ok(Some(Command::Query(query))) => match comment::read(query) {
+                    Ok(comment) => Some(self.asked(query, &comment)),
+                    Err(what) => {
+                        c.fatal(Violation { code: "08P01", what }).await;
+                        return Ok("malformed_request");
+                    }
+                },
+                Err(violation) => {
+                    c.fatal(violation).await;
+                    return Ok("protocol_violation");
+                }
+            };
+            match asked {
+                None => {
+                    self.until_ready().await;
+                    c.server.empty();
+                }
+                Some((asked, answer)) => {
+                    let ticket = asked.ticket;
+                    c.flush().await?;
+                    if self.events.send(Event::Asked(Box::new(asked))).await.is_err() {
+                        return Ok("shutdown");
+                    }
+                    c.requests += 1;
+                    let answer = match self.wait(c, &answer).await {
+                        Ok(answer) => answer,
+                        Err(reason) => {
+                            let _ = self.events.send(Event::Gone(ticket)).await;
+                            return Ok(reason);
+                        }
+                    };
+                    if let Some(reason) = c.answer(answer).await {
+                        return Ok(reason);
+                    }
+                }
+            }
+            peer.settled.set(peer.settled.get() || self.leaving.get() != Leaving::No);
+        }
+    }
+
+    fn asked(&self, query: &str, comment: &comment::Comment<'_>) -> (Asked, async_channel::Receiver<Answer>) {
+        let (answer, receiver) = bounded(1);
+        let number = self.numbers.get();
+        self.numbers.set(number + 1);
+        let asked = Asked {
+            ticket: Ticket(number),
+            id: comment.id.to_string(),
+            class: comment.class.to_string(),
+            wait_ms: comment.wait_ms,
+            group: comment.group,
+            after_ms: comment.after_ms,
+            key: comment.key.map(str::to_string),
+            // It outlives the read buffer: attempts go out and end while the next query is read.
+            statement: Rc::new(Statement::new(query.as_bytes().to_vec(), comment.wait_at.clone())),
+            answer,
+        };
+        (asked, receiver)
+    }
+
+    async fn until_ready(&self) {
+        loop {
+            let bell = self.bell.listen();
+            if self.ready.get() {
+                return;
+            }
+            bell.await;
+        }
+    }
+
+    /// Reads more. Between requests the connection may be told to close instead.
+    async fn read_on(&self, c: &mut Connection, peer: &Peer, idle: bool) -> Result<usize, Reason> {
+        loop {
+            let bell = self.bell.listen();
+            let leave = match self.leaving.get() {
+                Leaving::No => false,
+                Leaving::Idle => idle && peer.settled.get(),
+                Leaving::All => true,
+            };
+            let close = (idle && peer.evicted.get()) || leave;
+            let rung = async {
+                if !close {
+                    bell.await;
+                }
+                Ok(Woke::Bell)
+            };
+            // What has already arrived is read before the connection closes.
+            match future::or(c.read(), rung).await? {
+                Woke::Read(count) => return Ok(count),
+                Woke::Bell if close => return Err(if leave { "shutdown" } else { "evicted" }),
+                Woke::Bell => {}
+            }
+        }
+    }
+
+    /// The answer, unless the client goes away before it comes.
+    async fn wait(
+        &self,
+        c: &mut Connection,
+        answer: &async_channel::Receiver<Answer>,
+    ) -> Result<Answer, Reason> {
+        loop {
+            let answered = async { Ok(Some(answer.recv().await.map_err(|_| "shutdown")?)) };
+            if c.server.buffer.bytes().len() >= AHEAD_MOST {
+                return answered.await.and_then(|a| a.ok_or("shutdown"));
+            }
+            let read = async {
+                match c.read().await? {
+                    Woke::Read(0) => Err("client_gone"),
+                    _ => Ok(None),
+                }
+            };
+            if let Some(answer) = future::or(answered, read).await? {
+                return Ok(answer);
+            }
+        }
+    }
+}
+
+impl Connection {
+    async fn read(&mut self) -> Result<Woke, Reason> {
+        let count = self.stream.read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
+        self.server.buffer.filled(count);
+        Ok(Woke::Read(count))
+    }
+
+    async fn flush(&mut self) -> Result<(), Reason> {
+        if self.server.out.is_empty() {
+            return Ok(());
+        }
+        let written = within(Instant::now() + WRITE_WAIT, self.stream.write_all(&self.server.out)).await;
+        // Large answers are rare: their memory goes back.
+        self.server.out = Vec::new();
+        match written {
+            Some(Ok(())) => Ok(()),
+            Some(Err(_)) => Err("client_reset"),
+            None => Err("client_stalled"),
+        }
+    }
+
+    /// Queues an answer; the reason if the connection ends with it.
+    async fn answer(&mut self, answer: Answer) -> Option<Reason> {
+        match answer {
+            Answer::Served(messages) => self.server.serve(&messages),
+            Answer::Refused(after_ms) => {
+                let detail = (after_ms > 0).then(|| after_ms.to_string());
+                self.server.error("53300", "refused: trying again is harmless", detail.as_deref());
+            }
+            Answer::Failed => self.server.error("58000", "failed: it may have run", None),
+            Answer::UnknownClass => {
+                self.fatal(Violation { code: "08P01", what: "the class is not in the settings" }).await;
+                return Some("malformed_request");
+            }
+        }
+        None
+    }
+
+    /// Tells the client why the connection ends. What it still sends is read for a moment: a connection
+    /// closed over unread bytes is reset, and the error would be lost with it.
+    async fn fatal(&mut self, violation: Violation) {
+        self.server.fatal(violation);
+        if self.flush().await.is_err() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut sink = [0; 4096];
+        let drain = async { while matches!(self.stream.read(&mut sink).await, Ok(1..)) {} };
+        within(Instant::now() + LINGER, drain).await;
+    }
+}
--- /dev/null
+++ b/src/transport/discovery.rs
@@ -0,0 +1,103 @@
+//! The watch on discovery: one call after the other on one connection, made anew when it breaks.
+
+use super::{within, Ended, Ends, Event};
+use crate::protocol::{catalog, http};
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// How long a watch asks discovery to wait, and how long an answer may take beyond that.
+const WAIT_MS: u64 = 10_000;
+const GRACE: Duration = Duration::from_millis(1500);
+/// Pauses before a new connection: the watch must go on within 200 ms wherever it can.
+const PAUSE_FIRST: Duration = Duration::from_millis(20);
+const PAUSE_MOST: Duration = Duration::from_millis(1000);
+
+/// Follows the list for good and tells of each answer that says something.
+pub async fn watch(address: SocketAddr, events: Sender<Event>, ends: Ends) {
+    let mut seq = None;
+    let mut pause = PAUSE_FIRST;
+    loop {
+        let since = Instant::now();
+        let mut calls = 0;
+        let reason = follow(address, &events, &mut seq, &mut calls).await;
+        ends(&Ended { side: "discovery", peer: address, name: "", reason, requests: calls, since });
+        if events.is_closed() {
+            return;
+        }
+        // A connection that worked is replaced at once; one that did not come up waits longer.
+        pause = if calls > 0 { PAUSE_FIRST } else { (pause * 2).min(PAUSE_MOST) };
+        Timer::after(pause).await;
+    }
+}
+
+/// Calls on one connection until it is of no more use; says why.
+async fn follow(
+    address: SocketAddr,
+    events: &Sender<Event>,
+    seq: &mut Option<u64>,
+    calls: &mut u64,
+) -> &'static str {
+    let connected = within(Instant::now() + GRACE, Async::<TcpStream>::connect(address)).await;
+    let Some(Ok(mut stream)) = connected else { return "connect_failed" };
+    let _ = stream.get_ref().set_nodelay(true);
+    let host = address.to_string();
+    let mut reader = http::Reader::default();
+    loop {
+        let (target, wait) = match *seq {
+            None => ("/catalog/members".to_string(), Duration::ZERO),
+            Some(seq) => {
+                let target = format!("/catalog/members?index={seq}&wait={WAIT_MS}");
+                (target, Duration::from_millis(WAIT_MS))
+            }
+        };
+        let deadline = Instant::now() + wait + GRACE;
+        let answer = within(deadline, call(&mut stream, &mut reader, &target, &host)).await;
+        let answer = match answer {
+            // What a silent agent holds back is asked for anew; serving goes on from what is known.
+            None => return "timeout",
+            Some(Err(reason)) => return reason,
+            Some(Ok(answer)) => answer,
+        };
+        if answer.status != 200 {
+            *seq = None;
+            return "http_status";
+        }
+        let Ok(list) = catalog::parse(&answer.body) else {
+            *seq = None;
+            return "malformed_list";
+        };
+        *seq = Some(list.seq);
+        *calls += 1;
+        let news = list.whole || !list.hosts.is_empty();
+        if news && events.send(Event::List(list)).await.is_err() {
+            return "shutdown";
+        }
+        if !answer.keep {
+            return "server_closed";
+        }
+    }
+}
+
+async fn call(
+    stream: &mut Async<TcpStream>,
+    reader: &mut http::Reader,
+    target: &str,
+    host: &str,
+) -> Result<http::Answer, &'static str> {
+    stream.write_all(&http::get(target, host)).await.map_err(|_| "reset")?;
+    let mut ended = false;
+    loop {
+        if let Some(answer) = reader.advance(ended).map_err(|_| "malformed_http")? {
+            return Ok(answer);
+        }
+        if ended {
+            return Err("server_closed");
+        }
+        let count = stream.read(reader.buffer.space()).await.map_err(|_| "reset")?;
+        reader.buffer.filled(count);
+        ended = count == 0;
+    }
+}
--- /dev/null
+++ b/src/transport/members.rs
@@ -0,0 +1,425 @@
+//! Connections to members: a pool for each, attempts and probes on them.
+//!
+//! A connection carries one query at a time. An attempt takes an idle one or waits for one; openers
+//! run apart from the attempts and keep a few spare, so that a send seldom waits for a handshake.
+
+use super::{bare, within, Ended, Ends, Statement};
+use crate::protocol::client::{self, Answer, Broken, Client, Verdict};
+use crate::routing::Ending;
+use async_channel::{bounded, Sender};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Idle connections that a member in use is kept ready with, and the most that open at one time.
+const SPARE: usize = 2;
+const OPENING_MOST: usize = 6;
+/// After a failure no spare connection is opened for so long: attempts show whether it works again.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Report {
+    /// In the module's words.
+    pub ending: Ending,
+    /// The member's answer, if it gave one.
+    pub answer: Option<Answer>,
+}
+
+/// How far an attempt has come; the first byte is what drains count from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing is written yet.
+    #[default]
+    Waiting,
+    /// Some of it may be written.
+    Begun,
+}
+
+/// What the pools share.
+pub struct Shared {
+    /// Runs the openers.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Where ended connections are noted.
+    pub ends: Ends,
+    /// A connection that is not up after this time never comes up.
+    pub connect_timeout: Duration,
+    /// Idle connections are retired after this time, well before the member closes them.
+    pub idle_most: Duration,
+    /// The most connections to all members, and to one.
+    pub most: usize,
+    /// The most connections to one member.
+    pub most_each: usize,
+    /// Connections to all members that are up or coming up.
+    pub open: Cell<usize>,
+}
+
+/// A member as this proxy reaches it.
+pub struct Member {
+    shared: Rc<Shared>,
+    name: String,
+    address: Cell<SocketAddr>,
+    wanted: Cell<bool>,
+    idle: RefCell<Vec<Connection>>,
+    waiters: RefCell<VecDeque<Sender<Option<Connection>>>>,
+    opening: Cell<usize>,
+    open: Rc<Cell<usize>>,
+    heard: Cell<Instant>,
+    pause_until: Cell<Option<Instant>>,
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    client: Client,
+    peer: SocketAddr,
+    member: Rc<Member>,
+    since: Instant,
+    used: Instant,
+    requests: u64,
+    /// Why it ends, should it end now.
+    reason: &'static str,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.member.open.set(self.member.open.get() - 1);
+        self.member.shared.open.set(self.member.shared.open.get() - 1);
+        (self.member.shared.ends)(&Ended {
+            side: "member",
+            peer: self.peer,
+            name: &self.member.name,
+            reason: self.reason,
+            requests: self.requests,
+            since: self.since,
+        });
+    }
+}
+
+impl Connection {
+    fn end(mut self, reason: &'static str) {
+        self.reason = reason;
+    }
+
+    /// Whether the member has neither closed it nor said something unasked.
+    fn quiet(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// The next whole answer.
+    async fn answer(&mut self) -> Result<Answer, &'static str> {
+        let mut ended = false;
+        loop {
+            match self.client.advance(ended) {
+                Ok(Some(answer)) if ended => {
+                    self.reason = "member_closed";
+                    return Ok(answer);
+                }
+                Ok(Some(answer)) => return Ok(answer),
+                Ok(None) if ended => return Err("member_closed"),
+                Ok(None) => {}
+                Err(Broken) => return Err("malformed"),
+            }
+            match self.stream.read(self.client.buffer.space()).await {
+                Ok(count) => {
+                    self.client.buffer.filled(count);
+                    ended = count == 0;
+                }
+                Err(_) if ended => return Err("reset"),
+                Err(_) => match self.client.advance(true) {
+                    Ok(Some(answer)) => {
+                        self.reason = "reset";
+                        return Ok(answer);
+                    }
+                    _ => return Err("reset"),
+                },
+            }
+        }
+    }
+}
+
+/// The reason code of a connection in use; it stands when its attempt is dropped.
+const IN_USE: &str = "given_up";
+const IDLE: &str = "shutdown";
+
+impl Member {
+    /// A member at an address. No connection is opened before [`Member::want`].
+    pub fn new(shared: Rc<Shared>, name: &str, address: SocketAddr) -> Rc<Self> {
+        Rc::new(Member {
+            shared,
+            name: name.to_string(),
+            address: Cell::new(address),
+            wanted: Cell::new(false),
+            idle: RefCell::default(),
+            waiters: RefCell::default(),
+            opening: Cell::new(0),
+            open: Rc::default(),
+            heard: Cell::new(Instant::now()),
+            pause_until: Cell::new(None),
+        })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether it takes work, as far as the list tells.
+    pub fn wanted(&self) -> bool {
+        self.wanted.get()
+    }
+
+    /// Whether a connection to it stands ready.
+    pub fn warm(&self) -> bool {
+        !self.idle.borrow().is_empty()
+    }
+
+    /// Whether nothing holds a connection to it.
+    pub fn unused(&self) -> bool {
+        self.open.get() == 0 && self.opening.get() == 0
+    }
+
+    /// Keeps connections ready to a member that takes work, and closes idle ones of another.
+    pub fn want(self: &Rc<Self>, wanted: bool, address: Option<SocketAddr>) {
+        if let Some(address) = address.filter(|a| *a != self.address.get()) {
+            self.address.set(address);
+            self.close_idle("moved");
+        }
+        self.wanted.set(wanted);
+        if wanted {
+            self.top_up();
+        } else {
+            self.close_idle("left");
+        }
+    }
+
+    /// Retires what stood idle for long, drops what has died, and opens spares.
+    pub fn tend(self: &Rc<Self>) {
+        let now = Instant::now();
+        let mut idle = std::mem::take(&mut *self.idle.borrow_mut());
+        idle.retain_mut(|c| {
+            let old = now - c.used >= self.shared.idle_most;
+            let quiet = c.quiet();
+            c.reason = match (old, quiet) {
+                (true, _) => "retired",
+                (_, false) => "member_closed",
+                _ => IDLE,
+            };
+            quiet && !old
+        });
+        // The borrow is over before a dropped connection's line is noted.
+        self.idle.borrow_mut().splice(0..0, idle);
+        if self.wanted.get() {
+            self.top_up();
+        }
+    }
+
+    fn close_idle(&self, reason: &'static str) {
+        let idle = std::mem::take(&mut *self.idle.borrow_mut());
+        for connection in idle {
+            connection.end(reason);
+        }
+    }
+
+    fn top_up(self: &Rc<Self>) {
+        let now = Instant::now();
+        let paused = self.pause_until.get().is_some_and(|until| now < until);
+        let spare = if paused || !self.wanted.get() { 0 } else { SPARE };
+        let waiting = self.waiters.borrow().iter().filter(|w| !w.is_closed()).count();
+        let need = (waiting + spare).saturating_sub(self.idle.borrow().len()).min(OPENING_MOST);
+        while self.opening.get() < need
+            && self.open.get() + self.opening.get() < self.shared.most_each
+            && self.shared.open.get() < self.shared.most
+        {
+            self.opening.set(self.opening.get() + 1);
+            self.shared.open.set(self.shared.open.get() + 1);
+            let member = Rc::clone(self);
+            self.shared.executor.spawn(async move { member.open().await }).detach();
+        }
+    }
+
+    /// Opens one connection and hands it on; a failure is told to the attempt that waits longest.
+    async fn open(self: Rc<Self>) {
+        let (peer, since) = (self.address.get(), Instant::now());
+        let opened = within(since + self.shared.connect_timeout, self.connect(peer)).await;
+        self.opening.set(self.opening.get() - 1);
+        match opened {
+            Some(Ok(connection)) => {
+                self.pause_until.set(None);
+                self.put(connection);
+            }
+            failed => {
+                let reason = if failed.is_some() { "connect_failed" } else { "connect_timeout" };
+                self.shared.open.set(self.shared.open.get() - 1);
+                let (side, name, requests) = ("member", &*self.name, 0);
+                (self.shared.ends)(&Ended { side, peer, name, reason, requests, since });
+                self.pause_until.set(Some(Instant::now() + PAUSE));
+                loop {
+                    let waiter = self.waiters.borrow_mut().pop_front();
+                    match waiter {
+                        Some(waiter) if waiter.try_send(None).is_err() => {}
+                        _ => break,
+                    }
+                }
+                self.top_up();
+            }
+        }
+    }
+
+    /// Connects and greets.
+    async fn connect(self: &Rc<Self>, peer: SocketAddr) -> Result<Connection, Broken> {
+        let mut stream = Async::<TcpStream>::connect(peer).await.map_err(|_| Broken)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        stream.write_all(&client::startup("web", "orders")).await.map_err(|_| Broken)?;
+        let mut client = Client::default();
+        loop {
+            match client.advance(false) {
+                Ok(Some(answer)) if answer.verdict == Verdict::Done => break,
+                Ok(Some(_)) | Err(_) => return Err(Broken),
+                Ok(None) => {}
+            }
+            match stream.read(client.buffer.space()).await {
+                Ok(0) | Err(_) => return Err(Broken),
+                Ok(count) => client.buffer.filled(count),
+            }
+        }
+        self.open.set(self.open.get() + 1);
+        let (member, now) = (Rc::clone(self), Instant::now());
+        let (since, used, requests) = (now, now, 0);
+        Ok(Connection { stream, client, peer, member, since, used, requests, reason: IDLE })
+    }
+
+    fn put(self: &Rc<Self>, mut connection: Connection) {
+        loop {
+            let waiter = self.waiters.borrow_mut().pop_front();
+            let Some(waiter) = waiter else { break };
+            match waiter.try_send(Some(connection)) {
+                Ok(()) => return self.top_up(),
+                Err(back) => match back.into_inner() {
+                    Some(back) => connection = back,
+                    None => return,
+                },
+            }
+        }
+        connection.reason = IDLE;
+        if self.wanted.get() && connection.peer == self.address.get() {
+            self.idle.borrow_mut().push(connection);
+        } else {
+            connection.reason = "left";
+        }
+    }
+
+    /// A connection to send on; `None` when none could be had.
+    async fn take(self: &Rc<Self>) -> Option<Connection> {
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            let Some(mut connection) = idle else { break };
+            if connection.quiet() {
+                self.top_up();
+                return Some(connection);
+            }
+            connection.reason = "member_closed";
+        }
+        let (sender, receiver) = bounded(1);
+        self.waiters.borrow_mut().retain(|w| !w.is_closed());
+        self.waiters.borrow_mut().push_back(sender);
+        self.top_up();
+        receiver.recv().await.ok().flatten()
+    }
+
+    /// Sends a statement and waits for its answer. `holds` is how long the reason for the send holds:
+    /// what is not written by then is ended as never sent.
+    pub async fn attempt(
+        self: Rc<Self>,
+        statement: Rc<Statement>,
+        stage: Rc<Cell<Stage>>,
+        timeout: Duration,
+        holds: Option<Duration>,
+    ) -> Report {
+        let deadline = Instant::now() + timeout;
+        let write = |out: &mut Vec<u8>| {
+            let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
+            statement.write(out, left as i64);
+        };
+        self.ask(write, &stage, deadline, holds).await
+    }
+
+    /// Asks for the load report.
+    pub async fn probe(self: Rc<Self>, timeout: Duration) -> Option<String> {
+        let stage = Cell::default();
+        let show = |out: &mut Vec<u8>| out.extend_from_slice(b"SHOW load");
+        let report = self.ask(show, &stage, Instant::now() + timeout, None).await;
+        let answer = report.answer.filter(|_| report.ending == Ending::Ok)?;
+        String::from_utf8(answer.messages.get(answer.value)?.to_vec()).ok()
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        write: impl FnOnce(&mut Vec<u8>),
+        stage: &Cell<Stage>,
+        deadline: Instant,
+        holds: Option<Duration>,
+    ) -> Report {
+        let start = Instant::now();
+        let until = holds.map_or(deadline, |span| deadline.min(start + span));
+        let connect_by = start + self.shared.connect_timeout;
+        let mut connection = match within(until.min(connect_by), self.take()).await {
+            Some(Some(connection)) => connection,
+            Some(None) => return bare(Ending::ConnectFailed),
+            None if connect_by <= until && self.opening.get() > 0 => return bare(Ending::ConnectFailed),
+            None => return bare(Ending::Moot),
+        };
+        // A pause between the decision and here ages the decision too.
+        if Instant::now() >= until {
+            self.put(connection);
+            return bare(Ending::Moot);
+        }
+        stage.set(Stage::Begun);
+        connection.reason = IN_USE;
+        connection.requests += 1;
+        let message = client::query(write);
+        match within(until, connection.stream.write_all(&message)).await {
+            Some(Ok(())) => {}
+            // Broken before the last byte: it never ran. Cut off by the clock: it was never whole.
+            Some(Err(_)) => {
+                connection.reason = "reset";
+                return bare(Ending::ConnectFailed);
+            }
+            None => return bare(Ending::Moot),
+        }
+        let answer = match within(deadline, connection.answer()).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(reason)) => {
+                connection.reason = reason;
+                return bare(Ending::Reset);
+            }
+            None => {
+                connection.reason = "timeout";
+                // A member that said nothing at all since then may be cut off: what stands idle would
+                // be reset with the next request on it, which a new connection shows without harm.
+                if self.heard.get() < start {
+                    self.close_idle("silent");
+                }
+                return bare(Ending::Timeout);
+            }
+        };
+        let now = Instant::now();
+        self.heard.set(now);
+        connection.used = now;
+        let ending = match answer.verdict {
+            Verdict::Row => Ending::Ok,
+            Verdict::Miss => Ending::Miss,
+            Verdict::Full => Ending::Full,
+            Verdict::NotReady | Verdict::Done | Verdict::Error => Ending::Error,
+        };
+        if connection.reason == IN_USE {
+            self.put(connection);
+        }
+        Report { ending, answer: Some(answer) }
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,140 @@
+//! Thin drivers between sockets and the state machines of `protocol`. They decide nothing about
+//! requests: what clients ask and how attempts end goes to the broker as an [`Event`].
+
+pub mod clients;
+pub mod discovery;
+pub mod members;
+pub mod signals;
+
+use crate::protocol::catalog::Catalog;
+use crate::protocol::comment;
+use crate::routing::{Ending, HostId, RequestId};
+use async_channel::Sender;
+use futures_lite::future;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// A client's statement: kept once, and shared by all attempts of its request.
+#[derive(Debug)]
+pub struct Statement {
+    bytes: Vec<u8>,
+    wait_at: Range<usize>,
+}
+
+impl Statement {
+    /// A statement and where in it the value of `d` stands.
+    pub fn new(bytes: Vec<u8>, wait_at: Range<usize>) -> Self {
+        Statement { bytes, wait_at }
+    }
+
+    /// Writes it with the time that is left.
+    fn write(&self, out: &mut Vec<u8>, wait_ms: i64) {
+        comment::rewrite(out, &self.bytes, self.wait_at.clone(), wait_ms);
+    }
+}
+
+/// Numbers the requests of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request as a client's connection hands it over; whatever the protocol, the broker sees this.
+#[derive(Debug)]
+pub struct Asked {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The id that the client gave it.
+    pub id: String,
+    /// The name of its class.
+    pub class: String,
+    /// Milliseconds that the client waits from now on.
+    pub wait_ms: u32,
+    /// Its group.
+    pub group: u64,
+    /// The position that it must see, in Unix milliseconds.
+    pub after_ms: Option<i64>,
+    /// The session's name.
+    pub key: Option<String>,
+    /// What members are sent.
+    pub statement: Rc<Statement>,
+    /// Takes the one final answer.
+    pub answer: Sender<Answer>,
+}
+
+/// A final answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served: the messages that a member answered with.
+    Served(Vec<u8>),
+    /// Refused: a further try is harmless; milliseconds after which to come back, 0 for no advice.
+    Refused(i64),
+    /// Failed, with no promise about its effect.
+    Failed,
+    /// The request names a class that the settings do not know.
+    UnknownClass,
+}
+
+/// What the drivers tell the broker.
+#[derive(Debug)]
+pub enum Event {
+    /// A client asks.
+    Asked(Box<Asked>),
+    /// A client went away with its request open.
+    Gone(Ticket),
+    /// An attempt ended.
+    Attempt {
+        /// The request.
+        id: RequestId,
+        /// Its number.
+        attempt: u32,
+        /// How it ended.
+        report: members::Report,
+    },
+    /// A probe came back; without a report it failed.
+    Probed {
+        /// The member.
+        host: HostId,
+        /// Its report.
+        report: Option<String>,
+    },
+    /// Discovery told something.
+    List(Catalog),
+    /// The process is asked to end.
+    Terminate,
+}
+
+/// A connection that ended: one line of the log.
+#[derive(Debug)]
+pub struct Ended<'a> {
+    /// `client`, `member` or `discovery`.
+    pub side: &'static str,
+    /// Who was at the other end.
+    pub peer: SocketAddr,
+    /// The member's name; empty for others.
+    pub name: &'a str,
+    /// The code of the reason.
+    pub reason: &'static str,
+    /// Requests that it carried.
+    pub requests: u64,
+    /// When it came up.
+    pub since: Instant,
+}
+
+/// Where ended connections are noted.
+pub type Ends = Rc<dyn Fn(&Ended<'_>)>;
+
+/// An attempt's end without an answer.
+fn bare(ending: Ending) -> members::Report {
+    members::Report { ending, answer: None }
+}
+
+/// The result of `work`, or `None` if it is not done by `deadline`.
+async fn within<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        async_io::Timer::at(deadline).await;
+        None
+    };
+    future::or(async { Some(work.await) }, late).await
+}
