--- a/src/protocol/client.rs
+++ b/src/protocol/client.rs
@@ -146,7 +146,7 @@
 /// Where the value of a row of one column stands in the body of its message.
 fn column(body: &[u8]) -> Option<Range<usize>> {
     let length = u32::from_be_bytes(body.get(2..6)?.try_into().ok()?) as usize;
-    (body[..2] == [0, 1] && body.len() == 6 + length).then(|| 6..body.len())
+    (body[..2] == [0, 1] && body.len() == 6 + length).then_some(6..body.len())
 }
 
 fn code(mut fields: &[u8]) -> [u8; 5] {
