Count a session's write age from the time the router takes the request; recorded exchanges

Seen: the recorded exchange of a session read got a probe where the cached position was exactly the commit. Checked: the answer's position is cached (1000 ms); the read's need came out some microseconds past it. Cause: Broker::asked read the clock for the age and Broker::tell read it again for the event, so now - age was later than the commit. Each such read cost a probe, and often a read on the primary. Both now use one reading; the exchange guards it.

--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -217,10 +217,14 @@
 
     /// Tells the router, carries out what it does, and tells it what that ends at once.
     fn tell(&mut self, event: routing::Event) {
+        self.tell_at(self.clock.now(), event);
+    }
+
+    fn tell_at(&mut self, now: Micros, event: routing::Event) {
         let mut next = Some(event);
         while let Some(event) = next {
             let mut actions = Vec::new();
-            self.router.handle(self.clock.now(), event, &mut actions);
+            self.router.handle(now, event, &mut actions);
             self.perform(actions);
             next = self.ended.pop_front().map(|(id, attempt, host, sent, ending)| {
                 self.outcome(id, attempt, host, sent, &Report { ending, answer: None })
@@ -246,7 +250,9 @@
         let Asked { ticket, statement, answer, .. } = asked;
         self.tickets.insert(ticket, id);
         self.requests.insert(id, Open { ticket, statement, answer, attempts: 0 });
-        self.tell(routing::Event::Request(request));
+        // The age of the session's write counts from the very time that the router takes the request at:
+        // a later one would ask for a position some microseconds past the commit.
+        self.tell_at(now, routing::Event::Request(request));
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
--- /dev/null
+++ b/tests/common/play.rs
@@ -0,0 +1,291 @@
+//! Plays a recorded exchange against the program: a text file of lines `who > bytes` (sent to the program),
+//! `who < bytes` (what it must say next) and a few commands. `docs/architecture.md` has the forms.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+/// Far longer than anything takes: only a failing test meets it.
+const PATIENCE: Duration = Duration::from_secs(60);
+const GREETING: &str = "{R \\0\\0\\0\\0}{S role\\0replica\\0}{Z I}";
+
+/// Bytes to send or to expect; `None` stands for any digit.
+fn bytes(text: &str) -> Vec<Option<u8>> {
+    let mut out = Vec::new();
+    let mut frame: Option<usize> = None;
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        rest = tail;
+        match (*first, tail) {
+            (b'{', [tag, b' ', inner @ ..]) if frame.is_none() => {
+                if *tag != b'_' {
+                    out.push(Some(*tag));
+                }
+                frame = Some(out.len());
+                out.extend([Some(0); 4]);
+                rest = inner;
+            }
+            (b'}', _) if frame.is_some() => {
+                let at = frame.take().expect("an open frame");
+                let length = (out.len() - at) as u32;
+                length.to_be_bytes().iter().enumerate().for_each(|(i, b)| out[at + i] = Some(*b));
+            }
+            (b'\\', [b'x', high, low, inner @ ..]) => {
+                let digits = String::from_utf8(vec![*high, *low]).expect("hex digits");
+                out.push(Some(u8::from_str_radix(&digits, 16).expect("hex digits")));
+                rest = inner;
+            }
+            (b'\\', [escape, inner @ ..]) => {
+                out.push(match escape {
+                    b'n' => Some(b'\n'),
+                    b'r' => Some(b'\r'),
+                    b'0' => Some(0),
+                    b'd' => None,
+                    other => Some(*other),
+                });
+                rest = inner;
+            }
+            (plain, _) => out.push(Some(plain)),
+        }
+    }
+    out
+}
+
+fn plain(text: &str) -> Vec<u8> {
+    bytes(text).into_iter().map(|b| b.expect("no wildcard in what is sent")).collect()
+}
+
+/// Reads exactly what is expected, or up to where it differs.
+fn expect(who: &str, stream: &mut impl Read, wanted: &str) {
+    let wanted = bytes(wanted);
+    let mut got = vec![0; wanted.len()];
+    let mut count = 0;
+    while count < got.len() {
+        match stream.read(&mut got[count..]) {
+            Ok(0) | Err(_) => break,
+            Ok(more) => count += more,
+        }
+        let same = |(w, g): (&Option<u8>, &u8)| w.map_or(g.is_ascii_digit(), |w| w == *g);
+        if !wanted.iter().zip(&got[..count]).all(same) {
+            break;
+        }
+    }
+    let show = |b: &[u8]| b.escape_ascii().to_string();
+    let shown: Vec<u8> = wanted.iter().map(|w| w.unwrap_or(b'#')).collect();
+    let same = wanted.iter().zip(&got).all(|(w, g)| w.map_or(g.is_ascii_digit(), |w| w == *g));
+    let same = same && count == wanted.len();
+    assert!(same, "{who} wants\n{}\ngot\n{}", show(&shown), show(&got[..count]));
+}
+
+/// A member or discovery: what the program sends to it comes out as whole messages.
+struct Party {
+    address: String,
+    messages: Receiver<(TcpStream, Vec<u8>)>,
+    last: Option<TcpStream>,
+    /// Dropped when the party may answer handshakes.
+    held: Option<Sender<()>>,
+}
+
+fn whole(stream: &mut TcpStream, until: impl Fn(&[u8]) -> bool) -> Option<Vec<u8>> {
+    let mut message = Vec::new();
+    let mut byte = [0];
+    while !until(&message) {
+        stream.read_exact(&mut byte).ok()?;
+        message.push(byte[0]);
+    }
+    Some(message)
+}
+
+fn framed(skip: usize) -> impl Fn(&[u8]) -> bool {
+    move |m| {
+        let length = m.get(skip..skip + 4).map(|l| u32::from_be_bytes(l.try_into().expect("four bytes")));
+        length.is_some_and(|length| m.len() >= length as usize + skip)
+    }
+}
+
+impl Party {
+    fn start(member: bool, hold: bool) -> Party {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let (sender, messages) = channel();
+        let (held, released) = channel::<()>();
+        thread::spawn(move || {
+            let mut released = hold.then_some(released);
+            for stream in listener.incoming().flatten() {
+                if let Some(released) = released.take() {
+                    let _ = released.recv();
+                }
+                let sender = sender.clone();
+                thread::spawn(move || Self::talk(stream, member, &sender));
+            }
+        });
+        Party { address, messages, last: None, held: Some(held) }
+    }
+
+    fn talk(mut stream: TcpStream, member: bool, sender: &Sender<(TcpStream, Vec<u8>)>) -> Option<()> {
+        if member {
+            let startup = whole(&mut stream, framed(0))?;
+            let wanted = plain("{_ \\0\\x03\\0\\0user\\0web\\0database\\0orders\\0\\0}");
+            assert_eq!(startup, wanted, "the startup message to a member");
+            stream.write_all(&plain(GREETING)).ok()?;
+        }
+        loop {
+            let message = match member {
+                true => whole(&mut stream, framed(1))?,
+                false => whole(&mut stream, |m| m.ends_with(b"\r\n\r\n"))?,
+            };
+            sender.send((stream.try_clone().ok()?, message)).ok()?;
+        }
+    }
+
+    fn hears(&mut self, who: &str, wanted: &str) {
+        let (stream, message) = self.messages.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("{who}: {e}"));
+        expect(who, &mut VecDeque::from(message), wanted);
+        self.last = Some(stream);
+    }
+}
+
+struct Program {
+    child: Child,
+    log: Receiver<String>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Program {
+    fn start(config: &str) -> Program {
+        let path = std::env::temp_dir().join(format!(
+            "wharfplank-{}-{:?}",
+            std::process::id(),
+            thread::current().id()
+        ));
+        std::fs::write(&path, config).expect("the configuration is written");
+        let mut child = command().env("BALANCER_CONFIG", &path).spawn().expect("the program starts");
+        let stderr = BufReader::new(child.stderr.take().expect("its standard error"));
+        let (sender, log) = channel();
+        thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| sender.send(line).is_ok()));
+        Program { child, log }
+    }
+
+    fn logs(&self, wanted: &str) {
+        while let Ok(line) = self.log.recv_timeout(PATIENCE) {
+            if wanted.split(' ').all(|part| line.split(' ').any(|p| p == part)) {
+                return;
+            }
+        }
+        panic!("the log has no line with {wanted}");
+    }
+}
+
+/// The program, with none of this process's settings.
+pub fn command() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wharfplank"));
+    let variables = ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_CONFIG"];
+    for name in variables {
+        command.env_remove(name);
+    }
+    command.stdin(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+/// Plays one file.
+pub fn play(script: &str) {
+    let lines = || script.lines().map(str::trim_end).filter(|l| !l.is_empty() && !l.starts_with('#'));
+    let of = |word: &'static str| lines().filter_map(move |l| l.strip_prefix(word));
+    let mut parties: HashMap<String, Party> = HashMap::new();
+    parties.insert("d".to_string(), Party::start(false, false));
+    for member in of("member ") {
+        let (name, rest) = member.split_once(' ').unwrap_or((member, ""));
+        parties.insert(name.to_string(), Party::start(true, rest.contains("held")));
+    }
+    let addresses: Vec<(String, String)> =
+        parties.iter().map(|(name, p)| (format!("${name}"), p.address.clone())).collect();
+    let fill = |text: &str| addresses.iter().fold(text.to_string(), |t, (n, a)| t.replace(n.as_str(), a));
+    // A port that was free a moment ago.
+    let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").to_string();
+    let hosts: Vec<String> = of("member ")
+        .map(|m| {
+            let name = m.split(' ').next().expect("a name");
+            let role = if m.contains("primary") { "primary" } else { "replica" };
+            fill(&format!(
+                r#"{{"host":"{name}","dial":"${name}","site":"a","block":2,"health":"active","born_ms":0,"role":"{role}"}}"#
+            ))
+        })
+        .collect();
+    let attempts = of("attempts ").next().unwrap_or("4");
+    let config = include_str!("../exchanges/config.json")
+        .replace("$listen", &listen)
+        .replace("$discovery", &parties["d"].address)
+        .replace("$attempts", attempts)
+        .replace("$hosts", &hosts.join(","));
+    let mut program = Program::start(&config);
+    let mut clients: HashMap<String, TcpStream> = HashMap::new();
+    for line in lines() {
+        let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
+        let text = fill(text);
+        match (who, verb) {
+            ("member" | "attempts", _) => {}
+            ("log", _) => program.logs(rest),
+            ("term", _) => {
+                let id = program.child.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().is_ok_and(|s| s.success()));
+            }
+            ("exit", code) => {
+                let status = program.child.wait().expect("the program ends");
+                assert_eq!(status.code().map(|c| c.to_string()).as_deref(), Some(code), "exit code");
+            }
+            (name, verb) if parties.contains_key(name) => {
+                let party = parties.get_mut(name).expect("it is there");
+                match verb {
+                    "<" => party.hears(name, &text),
+                    ">" => {
+                        let mut answer = plain(&text);
+                        if let Some(at) = text.find("\\r\\n\\r\\n") {
+                            let body = plain(&text[at + 8..]).len().to_string();
+                            answer = plain(&text.replace("$length", &body));
+                        }
+                        party.last.as_mut().expect("it was asked").write_all(&answer).expect("taken");
+                    }
+                    "closes" => {
+                        party.last.take().expect("it was asked").shutdown(Shutdown::Both).expect("open")
+                    }
+                    "goes_on" => drop(party.held.take()),
+                    _ => panic!("{line}: unknown verb"),
+                }
+            }
+            (name, verb) => {
+                let stream = clients.entry(name.to_string()).or_insert_with(|| connect(&listen));
+                match verb {
+                    ">" => stream.write_all(&plain(&text)).expect("taken"),
+                    "<" if text == "EOF" => assert_eq!(stream.read(&mut [0]).ok(), Some(0), "{line}"),
+                    "<" => expect(name, stream, &text),
+                    "closes" => drop(clients.remove(name)),
+                    _ => panic!("{line}: unknown verb"),
+                }
+            }
+        }
+    }
+}
+
+/// Connects as soon as the program listens.
+fn connect(listen: &str) -> TcpStream {
+    for _ in 0..PATIENCE.as_millis() / 10 {
+        if let Ok(stream) = TcpStream::connect(listen) {
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            stream.set_nodelay(true).expect("no delay");
+            return stream;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the program does not listen on {listen}");
+}
