Refuse a request that no member has seen by 47% of its client's wait

Checked: the module holds writes for a primary that is cut off, and reads for a crowded one, until less than a usual time is left (choice.rs, dispatch). Ruled out: the sockets' way to the first attempt (median 0.2 ms) and the connection handling (no request lost, no attempt on a closed connection). Wrong: the give-up test in dispatch looked at what is left only, never at what a waiting client pays.

Also: what clients may buffer together is bounded (48 MiB past 16 KiB each), and the memory of a large message goes back once a member's connection is idle.

--- a/src/protocol/buffer.rs
+++ b/src/protocol/buffer.rs
@@ -5,6 +5,9 @@
 /// What a buffer starts with; it grows only while a message does not fit.
 const FIRST: usize = 4 * 1024;
 
+/// A buffer of this size is kept between messages; a larger one is given back.
+pub const MODEST: usize = 16 * 1024;
+
 /// Bytes that were read and not yet used. Messages are slices of it.
 #[derive(Debug, Default)]
 pub struct Buffer {
@@ -21,13 +24,7 @@
 
     /// Room to read into, of at least one byte; what is unused moves to the front first.
     pub fn space(&mut self) -> &mut [u8] {
-        if self.start == self.end {
-            (self.start, self.end) = (0, 0);
-            // A large message is over: its memory goes back.
-            if self.data.len() > 4 * FIRST {
-                self.data = Vec::new();
-            }
-        }
+        self.release();
         if self.end == self.data.len() {
             if self.start > 0 {
                 self.data.copy_within(self.start..self.end, 0);
@@ -41,6 +38,21 @@
         &mut self.data[self.end..]
     }
 
+    /// Gives the memory of a large message back once all of it is used.
+    pub fn release(&mut self) {
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+            if self.data.len() > MODEST {
+                self.data = Vec::new();
+            }
+        }
+    }
+
+    /// The memory that it holds.
+    pub fn capacity(&self) -> usize {
+        self.data.len()
+    }
+
     /// Counts bytes that were read into [`Buffer::space`].
     pub fn filled(&mut self, count: usize) {
         self.end = (self.end + count).min(self.data.len());
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -89,6 +89,8 @@
 const FORGOTTEN: Micros = 60_000_000;
 /// Remembered commits; beyond them the older half becomes one floor.
 const COMMITS: usize = 100_000;
+/// The part of its client's wait that a request may be held for without having reached a member.
+const HELD_MOST: f64 = 0.47;
 /// When a refused client is told to come back: overload and failovers last longer than a retry takes.
 const RETRY_AFTER: Micros = 2_000_000;
 /// A lag measured is trusted for this long, where members check reads themselves.
@@ -270,6 +272,8 @@
     ran_at: Option<Micros>,
     shunned: BTreeSet<HostId>,
     probed: Option<(HostId, Micros)>,
+    /// Whether an attempt reached a member.
+    reached: bool,
 }
 
 /// The decisions of one router.
@@ -424,7 +428,10 @@
             _ => Micros::MAX,
         };
         let left = self.until(p).min(repeat_ends).saturating_sub(self.now) as f64;
-        if left < self.usual[p.class.0] || p.attempts >= self.settings.max_attempts {
+        // One that no member has seen is told early, while coming back is still worth the client's time.
+        let waited = (self.now - p.arrived) as f64 / (p.give_up_at - p.arrived).max(1) as f64;
+        let unseen = !p.reached && waited > HELD_MOST;
+        if left < self.usual[p.class.0] || p.attempts >= self.settings.max_attempts || unseen {
             return self.give_up(id);
         }
         let (group, consistency) = (p.group, class.consistency);
@@ -801,6 +808,7 @@
             if consistency != Consistency::Write || o.ending != Ending::Miss {
                 p.shunned.insert(o.host);
             }
+            p.reached |= !matches!(o.ending, Ending::ConnectFailed | Ending::Moot);
             if !never_ran {
                 p.ran_at.get_or_insert(flight.sent);
             }
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -1,6 +1,7 @@
 //! The listener and the connections of clients.
 
 use super::{within, Answer, Asked, Ended, Ends, Event, Statement, Ticket};
+use crate::protocol::buffer::MODEST;
 use crate::protocol::comment;
 use crate::protocol::server::{Command, Server, Violation};
 use async_channel::{bounded, Sender};
@@ -19,6 +20,9 @@
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 /// How long an error that ends a connection may take to arrive, and what is read past meanwhile.
 const LINGER: Duration = Duration::from_millis(500);
+/// What all connections together may buffer past a modest size each. A message that does not fit ends its
+/// connection: it is not whole, so nothing that was taken is lost.
+const LARGE_MOST: usize = 48 * 1024 * 1024;
 /// Bytes that are read ahead of the query in work; past that the client waits.
 const AHEAD_MOST: usize = 16 * 1024;
 /// Pause where no descriptor was left for a connection.
@@ -32,6 +36,8 @@
     most: usize,
     peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
+    /// Bytes in buffers past a modest size.
+    large: Rc<Cell<usize>>,
     /// Whether queries can be served: until then an empty query waits.
     ready: Cell<bool>,
     leaving: Cell<Leaving>,
@@ -61,6 +67,15 @@
     stream: Async<TcpStream>,
     server: Server,
     requests: u64,
+    /// What it has of the bytes that all connections share.
+    large: usize,
+    shared: Rc<Cell<usize>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.shared.set(self.shared.get() - self.large);
+    }
 }
 
 /// What woke a connection up.
@@ -86,6 +101,7 @@
             most,
             peers: RefCell::default(),
             numbers: Cell::new(0),
+            large: Rc::default(),
             ready: Cell::new(false),
             leaving: Cell::new(Leaving::No),
             bell: Bell::new(),
@@ -148,7 +164,9 @@
         self.peers.borrow_mut().insert(number, Rc::clone(&peer));
         let clients = Rc::clone(self);
         let task = async move {
-            let mut connection = Connection { stream, server: Server::default(), requests: 0 };
+            let shared = Rc::clone(&clients.large);
+            let mut connection =
+                Connection { stream, server: Server::default(), requests: 0, large: 0, shared };
             let reason = if full {
                 connection.fatal(Violation { code: "53300", what: "too many connections" }).await;
                 "too_many_connections"
@@ -186,8 +204,13 @@
                     let read = self.read_on(c, peer, idle);
                     let read = if started { Some(read.await) } else { within(startup, read).await };
                     peer.idle.set(None);
-                    match read.unwrap_or(Err("startup_timeout"))? {
-                        0 => return Ok("client_closed"),
+                    match read.unwrap_or(Err("startup_timeout")) {
+                        Err("out_of_memory") => {
+                            c.fatal(Violation { code: "53200", what: "no memory for the message" }).await;
+                            return Ok("out_of_memory");
+                        }
+                        Err(reason) => return Ok(reason),
+                        Ok(0) => return Ok("client_closed"),
                         _ => continue,
                     }
                 }
@@ -318,6 +341,13 @@
 
 impl Connection {
     async fn read(&mut self) -> Result<Woke, Reason> {
+        self.server.buffer.space();
+        let large = self.server.buffer.capacity().saturating_sub(MODEST);
+        self.shared.set(self.shared.get() - self.large + large);
+        self.large = large;
+        if large > 0 && self.shared.get() > LARGE_MOST {
+            return Err("out_of_memory");
+        }
         let count = self.stream.read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
         self.server.buffer.filled(count);
         Ok(Woke::Read(count))
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -307,6 +307,7 @@
             }
         }
         connection.reason = IDLE;
+        connection.client.buffer.release();
         if self.wanted.get() && connection.peer == self.address.get() {
             self.idle.borrow_mut().push(connection);
         } else {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -397,3 +397,13 @@
     }
     assert!((1..=3).contains(&sent), "{sent} sends in two seconds");
 }
+
+/// Guards against requests that are held for most of their client's wait and refused when it is too late
+/// to come back: one that no member has seen is told before half of its time is over.
+#[test]
+fn a_request_that_no_member_has_seen_is_refused_before_half_its_time() {
+    let mut b = unknown_primary(2);
+    assert!(sends(&b.ask(UNSAFE)).is_empty(), "too few attempts to search with");
+    assert!(!refused(&b.pass(400_000)), "it is held for a while");
+    assert!(refused(&b.pass(90_000)));
+}
