--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -38,6 +38,8 @@
 /// is given up.
 const CLOSE_AFTER: Micros = 700_000;
 const GIVE_UP_AFTER: Micros = 3_200_000;
+/// Names past which those of members long gone are forgotten.
+const NAMES_MOST: usize = 4096;
 /// Time for the last answers to be written.
 const LAST_WORDS: Micros = 100_000;
 
@@ -221,14 +223,19 @@
     }
 
     fn tell_at(&mut self, now: Micros, event: routing::Event) {
-        let mut next = Some(event);
-        while let Some(event) = next {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        self.perform(actions);
+        self.settle();
+    }
+
+    /// Tells the router of the attempts that ended at once, until none is left.
+    fn settle(&mut self) {
+        while let Some((id, attempt, host, sent, ending)) = self.ended.pop_front() {
+            let outcome = self.outcome(id, attempt, host, sent, &Report { ending, answer: None });
             let mut actions = Vec::new();
-            self.router.handle(now, event, &mut actions);
+            self.router.handle(self.clock.now(), outcome, &mut actions);
             self.perform(actions);
-            next = self.ended.pop_front().map(|(id, attempt, host, sent, ending)| {
-                self.outcome(id, attempt, host, sent, &Report { ending, answer: None })
-            });
         }
     }
 
@@ -364,7 +371,6 @@
         if catalog.whole {
             let named = |m: &Member| catalog.hosts.iter().any(|h| h.name == m.name());
             self.members.values().filter(|m| !named(m)).for_each(|m| m.want(false, None));
-            self.members.retain(|_, m| named(m) || !m.unused());
         }
         let entries: Vec<Entry> = catalog.hosts.iter().map(|host| self.entry(host)).collect();
         let event = if catalog.whole { routing::Event::List } else { routing::Event::ListChange };
@@ -379,9 +385,10 @@
         for (id, attempt) in moot {
             self.end(id, attempt, Ending::Moot);
         }
-        if let Some((id, attempt, host, sent, ending)) = self.ended.pop_front() {
-            let outcome = self.outcome(id, attempt, host, sent, &Report { ending, answer: None });
-            self.tell(outcome);
+        self.settle();
+        self.members.retain(|_, m| m.wanted() || !m.unused());
+        if self.names.len() > NAMES_MOST {
+            self.names.retain(|_, host| self.members.contains_key(host));
         }
     }
 
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -235,7 +235,9 @@
             };
             match asked {
                 None => {
-                    self.until_ready().await;
+                    if !self.until_ready().await {
+                        return Ok("shutdown");
+                    }
                     c.server.empty();
                 }
                 Some((asked, answer)) => {
@@ -280,11 +282,12 @@
         (asked, receiver)
     }
 
-    async fn until_ready(&self) {
+    /// Waits until queries can be served; false when the process ends first.
+    async fn until_ready(&self) -> bool {
         loop {
             let bell = self.bell.listen();
-            if self.ready.get() {
-                return;
+            if self.ready.get() || self.leaving.get() != Leaving::No {
+                return self.ready.get();
             }
             bell.await;
         }
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -226,6 +226,7 @@
         .replace("$listen", &listen)
         .replace("$discovery", &parties["d"].address)
         .replace("$attempts", attempts)
+        .replace("$sockets", of("sockets ").next().unwrap_or("256"))
         .replace("$hosts", &hosts.join(","));
     let mut program = Program::start(&config);
     let mut clients: HashMap<String, TcpStream> = HashMap::new();
@@ -234,7 +235,7 @@
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         let text = fill(text);
         match (who, verb) {
-            ("member" | "attempts", _) => {}
+            ("member" | "attempts" | "sockets", _) => {}
             ("log", _) => program.logs(rest),
             ("term", _) => {
                 let id = program.child.id().to_string();
