--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -1,8 +1,9 @@
-//! The log: one line on standard error for each ended connection.
+//! The log on standard error: one line at the start, and one for each ended connection.
 
 use crate::transport::Ended;
 use std::cell::Cell;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::mpsc::{sync_channel, SyncSender};
 
 /// Lines that may wait to be written; further ones are counted and dropped.
@@ -28,11 +29,15 @@
         Ok(Log { lines, dropped: Cell::new(0) })
     }
 
+    /// Notes that clients can connect.
+    pub fn started(&self, listen: SocketAddr) {
+        self.line(format!("started listen={listen}"));
+    }
+
     /// Notes an ended connection.
     pub fn ended(&self, e: &Ended<'_>) {
-        let dropped = self.dropped.get();
         let name = if e.name.is_empty() { "-" } else { e.name };
-        let mut line = format!(
+        self.line(format!(
             "ended side={} peer={} name={} reason={} requests={} age_ms={}",
             e.side,
             e.peer,
@@ -40,7 +45,11 @@
             e.reason,
             e.requests,
             e.since.elapsed().as_millis()
-        );
+        ));
+    }
+
+    fn line(&self, mut line: String) {
+        let dropped = self.dropped.get();
         if dropped > 0 {
             line.push_str(&format!(" lines_dropped={dropped}"));
         }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -28,6 +28,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let (events, received) = async_channel::bounded(EVENTS);
     let log = log::Log::start().map_err(|e| format!("log: {e}"))?;
+    log.started(listener.get_ref().local_addr().unwrap_or(config.listen));
     let ends: Ends = Rc::new(move |ended| log.ended(ended));
 
     let sockets = config.sockets.saturating_sub(RESERVED).max(8);
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
@@ -152,28 +153,30 @@
 struct Program {
     child: Child,
     log: Receiver<String>,
+    listen: String,
+    config: PathBuf,
 }
 
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
 impl Program {
     fn start(config: &str) -> Program {
-        let path = std::env::temp_dir().join(format!(
-            "wharfplank-{}-{:?}",
-            std::process::id(),
-            thread::current().id()
-        ));
+        let name = format!("wharfplank-{}-{:?}", std::process::id(), thread::current().id());
+        let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).expect("the configuration is written");
         let mut child = command().env("BALANCER_CONFIG", &path).spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("its standard error"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| sender.send(line).is_ok()));
-        Program { child, log }
+        let started: String = log.recv_timeout(PATIENCE).expect("a line that says where it listens");
+        let listen = started.strip_prefix("started listen=").expect(&started).to_string();
+        Program { child, log, listen, config: path }
     }
 
     fn logs(&self, wanted: &str) {
@@ -210,8 +213,6 @@
     let addresses: Vec<(String, String)> =
         parties.iter().map(|(name, p)| (format!("${name}"), p.address.clone())).collect();
     let fill = |text: &str| addresses.iter().fold(text.to_string(), |t, (n, a)| t.replace(n.as_str(), a));
-    // A port that was free a moment ago.
-    let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").to_string();
     let hosts: Vec<String> = of("member ")
         .map(|m| {
             let name = m.split(' ').next().expect("a name");
@@ -223,7 +224,6 @@
         .collect();
     let attempts = of("attempts ").next().unwrap_or("4");
     let config = include_str!("../exchanges/config.json")
-        .replace("$listen", &listen)
         .replace("$discovery", &parties["d"].address)
         .replace("$attempts", attempts)
         .replace("$sockets", of("sockets ").next().unwrap_or("256"))
@@ -265,7 +265,7 @@
                 }
             }
             (name, verb) => {
-                let stream = clients.entry(name.to_string()).or_insert_with(|| connect(&listen));
+                let stream = clients.entry(name.to_string()).or_insert_with(|| connect(&program.listen));
                 match verb {
                     ">" => stream.write_all(&plain(&text)).expect("taken"),
                     "<" if text == "EOF" => assert_eq!(stream.read(&mut [0]).ok(), Some(0), "{line}"),
@@ -278,15 +278,9 @@
     }
 }
 
-/// Connects as soon as the program listens.
 fn connect(listen: &str) -> TcpStream {
-    for _ in 0..PATIENCE.as_millis() / 10 {
-        if let Ok(stream) = TcpStream::connect(listen) {
-            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-            stream.set_nodelay(true).expect("no delay");
-            return stream;
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-    panic!("the program does not listen on {listen}");
+    let stream = TcpStream::connect(listen).expect("the program listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.set_nodelay(true).expect("no delay");
+    stream
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -26,6 +26,7 @@
         command.env("BALANCER_CONFIG", &path);
     }
     let output = command.output().expect("the program runs");
+    let _ = std::fs::remove_file(&path);
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success() && said.contains(complaint), "{said}");
 }
