Keep the answer of an attempt that ended in the moment it was cancelled

Seen on reading: Broker::end dropped a flight whose report was already on its way to the broker, so a value that had arrived was reported as cancelled. The attempt's stage now says that it has ended, and its report counts as it came. No recorded exchange can hold the two events in that order, so none is added.

--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -297,21 +297,26 @@
             self.ended.push_back((id, attempt, host, now, Ending::Moot));
             return;
         };
-        let stage = Rc::default();
+        let stage: Rc<Cell<Stage>> = Rc::default();
         let span = |micros: Micros| Duration::from_micros(micros.max(0) as u64);
         let holds = holds_until.map(|until| span(until + SEND_MARGIN - WRITE_MARGIN - now));
         let (member, statement) = (Rc::clone(member), Rc::clone(&open.statement));
         let work = member.attempt(statement, Rc::clone(&stage), span(timeout), holds);
-        let events = self.events.clone();
+        let (events, done) = (self.events.clone(), Rc::clone(&stage));
         let task = self.shared.executor.spawn(async move {
             let report = work.await;
+            done.set(Stage::Done);
             let _ = events.send(Event::Attempt { id, attempt, report }).await;
         });
         self.flights.insert((id, attempt), Flight { host, sent: now, stage, task });
     }
 
-    /// Ends an attempt from this side: its connection closes.
+    /// Ends an attempt from this side: its connection closes. One whose report is on the way keeps it: a
+    /// value that has arrived is not thrown away.
     fn end(&mut self, id: RequestId, attempt: u32, ending: Ending) {
+        if self.flights.get(&(id, attempt)).is_some_and(|f| f.stage.get() == Stage::Done) {
+            return;
+        }
         if let Some(flight) = self.flights.remove(&(id, attempt)) {
             drop(flight.task);
             self.ended.push_back((id, attempt, flight.host, flight.sent, ending));
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -39,6 +39,8 @@
     Waiting,
     /// Some of it may be written.
     Begun,
+    /// It has ended, and its report is on the way.
+    Done,
 }
 
 /// What the pools share.
