Check a member's whole answer and listen after it, so that no spoilt answer is served

Lines to blame: Connection::quiet peeked at the socket only, while a second copy that came with the answer stood in the connection's own buffer and was read as the next request's answer; and Client::advance let unknown messages, repeated ends and any description through. An unreadable answer also counted as a reset, which made the router suspect a working member for 0.4 s each time; it is an error now, which may have run all the same.

Now: tags, order, column count and lengths are checked before anything is passed on; a connection is listened to for 3 ms before its next request; an answer that stands still for 150 ms half-way has no end; a load report that cannot be read, or a position ahead of the clock, counts as none (a position from either could have let a stale read through).

--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -41,6 +41,8 @@
 const GIVE_UP_AFTER: Micros = 3_200_000;
 /// Names past which those of members long gone are forgotten.
 const NAMES_MOST: usize = 4096;
+/// A position further ahead of the clock than this is none: all machines read one clock.
+const AHEAD_MOST: Micros = 50_000;
 /// Time for the last answers to be written.
 const LAST_WORDS: Micros = 100_000;
 
@@ -340,6 +342,8 @@
     fn outcome(&self, id: RequestId, attempt: u32, host: HostId, sent: Micros, r: &Report) -> routing::Event {
         let primary = r.answer.as_ref().and_then(|a| a.primary);
         let position = r.answer.as_ref().and_then(|a| a.applied_ms);
+        let position = position.map(|ms| ms.saturating_mul(1000));
+        let latest = self.clock.now() + AHEAD_MOST;
         routing::Event::Outcome(Outcome {
             id,
             attempt: AttemptNo(attempt),
@@ -348,7 +352,7 @@
             terminal: !self.requests.contains_key(&id),
             latency: self.clock.now() - sent,
             role: primary.map(role),
-            position: position.filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1000)),
+            position: position.filter(|at| (1..=latest).contains(at)),
         })
     }
 
@@ -363,12 +367,19 @@
     }
 
     fn probed(&mut self, host: HostId, report: Option<String>) {
-        let mut probed = Probed { host, ok: report.is_some(), role: None, position: None, queue: None };
-        for (name, value) in client::report(report.as_deref().unwrap_or_default()) {
+        // A report that cannot be read, or is ahead of the clock, counts as none.
+        let values = report.as_deref().and_then(|text| client::report(text, &self.terms.columns));
+        let ok = values.is_some();
+        let mut probed = Probed { host, ok, role: None, position: None, queue: None };
+        for (name, value) in values.unwrap_or_default() {
             match name {
-                "x0" => probed.position = client::seconds(value).filter(|at| *at > 0),
+                "x0" => {
+                    let at = client::seconds(value);
+                    probed.ok &= at.is_some_and(|at| at <= self.clock.now() + AHEAD_MOST);
+                    probed.position = at.filter(|at| *at > 0);
+                }
                 "x1" => probed.role = value.parse().ok().map(|v: f64| role(v >= 0.5)),
-                "q" | "queue" => probed.queue = value.parse().ok().filter(|v: &f64| v.is_finite()),
+                "q" | "queue" => probed.queue = value.parse().ok(),
                 _ => {}
             }
         }
--- a/src/protocol/client.rs
+++ b/src/protocol/client.rs
@@ -3,8 +3,11 @@
 use super::buffer::{frame, message, text, untagged, until_zero, Buffer};
 use std::ops::Range;
 
-/// The longest message that is taken from a member.
-const MESSAGE_MOST: usize = 192 * 1024;
+/// The longest row that is taken from a member, the longest of the other messages, and all the bytes of one
+/// answer: noise must not be waited for as if it were a message.
+const ROW_MOST: usize = 192 * 1024;
+const MESSAGE_MOST: usize = 16 * 1024;
+const ANSWER_MOST: usize = 256 * 1024;
 
 /// A member broke the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +51,9 @@
     /// The bytes of the connection.
     pub buffer: Buffer,
     messages: Vec<u8>,
+    /// The bytes of the present answer that were used.
+    taken: usize,
+    described: bool,
     rows: u32,
     completed: bool,
     value: Range<usize>,
@@ -82,20 +88,40 @@
 impl Client {
     /// The answer to the startup message or to a query, once the member is ready for the next; `ended`
     /// says that no more bytes will come, when an error is an answer without that.
+    ///
+    /// The whole answer is checked before any of it is passed on: what a member spoilt must not reach a
+    /// client as a value.
     pub fn advance(&mut self, ended: bool) -> Result<Option<Answer>, Broken> {
         loop {
-            let length = frame(self.buffer.bytes(), true, MESSAGE_MOST).map_err(|_| Broken)?;
+            let most = match self.buffer.bytes().first() {
+                Some(b'D') => ROW_MOST,
+                Some(b'T' | b'C' | b'E' | b'S' | b'Z' | b'N' | b'A' | b'I' | b'R' | b'K' | b'v') => {
+                    MESSAGE_MOST
+                }
+                Some(_) => return Err(Broken),
+                None => 0,
+            };
+            let length = frame(self.buffer.bytes(), true, most).map_err(|_| Broken)?;
             let Some(length) = length.filter(|length| self.buffer.bytes().len() >= *length) else {
                 return Ok((ended && self.code.is_some()).then(|| self.finish()));
             };
             let range = self.buffer.take(length);
+            self.taken += length;
             let whole = self.buffer.at(range);
             let (tag, body) = (whole[0], &whole[5..]);
+            let wrong = match tag {
+                b'T' => std::mem::replace(&mut self.described, true) || !describes_one(body),
+                b'D' => !self.described || self.completed || self.rows > 0,
+                b'C' => std::mem::replace(&mut self.completed, true) || !is_text(body),
+                b'R' => body != [0; 4],
+                b'Z' => !matches!(body, [b'I' | b'T' | b'E']) || (self.described && !self.closed()),
+                _ => false,
+            };
+            if wrong || self.taken > ANSWER_MOST {
+                return Err(Broken);
+            }
             match tag {
-                b'T' | b'C' => {
-                    self.completed |= tag == b'C';
-                    self.messages.extend_from_slice(whole);
-                }
+                b'T' | b'C' => self.messages.extend_from_slice(whole),
                 b'D' => {
                     self.rows += 1;
                     self.value = column(body).ok_or(Broken)?;
@@ -108,25 +134,32 @@
                     let (name, rest) = until_zero(body).ok_or(Broken)?;
                     let (value, _) = until_zero(rest).ok_or(Broken)?;
                     let value = std::str::from_utf8(value).unwrap_or_default();
-                    match name {
-                        b"role" => self.primary = Some(value == "primary"),
+                    match (name, value) {
+                        (b"role", "primary") => self.primary = Some(true),
+                        (b"role", "replica") => self.primary = Some(false),
                         // A position is rounded down.
-                        b"applied_ms" => {
+                        (b"applied_ms", _) => {
                             self.applied_ms = value.split('.').next().and_then(|v| v.parse().ok())
                         }
                         _ => {}
                     }
                 }
-                b'R' if body != [0; 4] => return Err(Broken),
                 b'Z' => return Ok(Some(self.finish())),
                 _ => {}
             }
-            if self.messages.len() > 2 * MESSAGE_MOST {
-                return Err(Broken);
-            }
         }
     }
 
+    /// Whether the answer has begun to arrive and is not whole yet.
+    pub fn begun(&self) -> bool {
+        self.taken > 0 || !self.buffer.bytes().is_empty()
+    }
+
+    /// Whether a described answer came to its end: with its row, or with an error.
+    fn closed(&self) -> bool {
+        self.code.is_some() || (self.rows == 1 && self.completed)
+    }
+
     fn finish(&mut self) -> Answer {
         let verdict = match self.code.as_ref().map(|code| &code[..]) {
             None if self.rows == 1 && self.completed => Verdict::Row,
@@ -149,6 +182,17 @@
     (body[..2] == [0, 1] && body.len() == 6 + length).then_some(6..body.len())
 }
 
+/// Whether a description tells of one column.
+fn describes_one(body: &[u8]) -> bool {
+    let [0, 1, column @ ..] = body else { return false };
+    until_zero(column).is_some_and(|(_, rest)| matches!(rest, [.., 0, 0 | 1] if rest.len() == 18))
+}
+
+fn is_text(body: &[u8]) -> bool {
+    until_zero(body)
+        .is_some_and(|(text, rest)| rest.is_empty() && text.iter().all(|b| (b' '..=b'~').contains(b)))
+}
+
 fn code(mut fields: &[u8]) -> [u8; 5] {
     while let [field, rest @ ..] = fields {
         let Some((value, rest)) = until_zero(rest) else { break };
@@ -160,9 +204,16 @@
     *b"XX000"
 }
 
-/// A load report: its values by name. Positions are counted in seconds there.
-pub fn report(text: &str) -> impl Iterator<Item = (&str, &str)> {
-    text.split(',').filter_map(|part| part.split_once('=')).map(|(name, value)| (name.trim(), value.trim()))
+/// A load report: its values by name; positions are counted in seconds there. `None` where it cannot be
+/// read, which is as if there were none: each of `columns` is there once, as a number, and nothing else.
+pub fn report<'a>(text: &'a str, columns: &[String]) -> Option<Vec<(&'a str, &'a str)>> {
+    let pair = |part: &'a str| {
+        let (name, value) = part.split_once('=').map(|(name, value)| (name.trim(), value.trim()))?;
+        value.parse().ok().filter(|v: &f64| v.is_finite()).map(|_| (name, value))
+    };
+    let values: Vec<_> = text.split(',').map(pair).collect::<Option<_>>()?;
+    let once = |column: &String| values.iter().filter(|(name, _)| name == column).count() == 1;
+    (values.len() == columns.len() && columns.iter().all(once)).then_some(values)
 }
 
 /// Seconds as microseconds, rounded down, without the detour of a floating number.
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -21,6 +21,11 @@
 const OPENING_MOST: usize = 6;
 /// After a failure no spare connection is opened for so long: attempts show whether it works again.
 const PAUSE: Duration = Duration::from_millis(500);
+/// How long a connection is listened to after an answer before it carries the next request: a second copy
+/// of the answer, or noise behind it, would be read as the answer to that.
+const REST: Duration = Duration::from_millis(3);
+/// An answer that has begun to arrive and stands still for so long has no end.
+const STALL: Duration = Duration::from_millis(150);
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -77,6 +82,8 @@
     idle: RefCell<Vec<Connection>>,
     waiters: RefCell<VecDeque<Sender<Option<Connection>>>>,
     opening: Cell<usize>,
+    /// Connections that are listened to after their answer.
+    resting: Cell<usize>,
     open: Cell<usize>,
     heard: Cell<Instant>,
     pause_until: Cell<Option<Instant>>,
@@ -116,6 +123,9 @@
 
     /// Whether the member has neither closed it nor said something unasked.
     fn quiet(&self) -> bool {
+        if self.client.begun() {
+            return false;
+        }
         let peeked = self.stream.get_ref().peek(&mut [0]);
         matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
@@ -132,12 +142,16 @@
                 }
                 (Ok(None), Some(reason)) => return Err(reason),
                 (Ok(None), None) => {}
-                (Err(Broken), _) => return Err("malformed"),
+                (Err(Broken), _) => return Err(MALFORMED),
             }
-            match self.stream.read(self.client.buffer.space()).await {
-                Ok(0) => over = Some("member_closed"),
-                Ok(count) => self.client.buffer.filled(count),
-                Err(_) => over = Some("reset"),
+            let begun = self.client.begun();
+            let read = self.stream.read(self.client.buffer.space());
+            let read = if begun { within(Instant::now() + STALL, read).await } else { Some(read.await) };
+            match read {
+                Some(Ok(0)) => over = Some("member_closed"),
+                Some(Ok(count)) => self.client.buffer.filled(count),
+                Some(Err(_)) => over = Some("reset"),
+                None => return Err(MALFORMED),
             }
         }
     }
@@ -146,6 +160,7 @@
 /// The reason code of a connection in use; it stands when its attempt is dropped.
 const IN_USE: &str = "given_up";
 const IDLE: &str = "shutdown";
+const MALFORMED: &str = "malformed";
 
 impl Member {
     /// A member at an address. No connection is opened before [`Member::want`].
@@ -158,6 +173,7 @@
             idle: RefCell::default(),
             waiters: RefCell::default(),
             opening: Cell::new(0),
+            resting: Cell::new(0),
             open: Cell::new(0),
             heard: Cell::new(Instant::now()),
             pause_until: Cell::new(None),
@@ -231,7 +247,8 @@
         let paused = self.pause_until.get().is_some_and(|until| now < until);
         let spare = if paused || !self.wanted.get() { 0 } else { SPARE };
         let waiting = self.waiters.borrow().iter().filter(|w| !w.is_closed()).count();
-        let need = (waiting + spare).saturating_sub(self.idle.borrow().len()).min(OPENING_MOST);
+        let soon = self.idle.borrow().len() + self.resting.get();
+        let need = (waiting + spare).saturating_sub(soon).min(OPENING_MOST);
         while self.opening.get() < need
             && self.open.get() + self.opening.get() < self.shared.most_each
             && self.shared.open.get() < self.shared.most
@@ -315,6 +332,26 @@
         }
     }
 
+    /// Listens to a connection for a moment after its answer, then hands it on.
+    fn rest(self: &Rc<Self>, connection: Connection) {
+        self.resting.set(self.resting.get() + 1);
+        let member = Rc::clone(self);
+        let task = async move {
+            if !connection.client.begun() {
+                within(Instant::now() + REST, connection.stream.readable()).await;
+            }
+            member.resting.set(member.resting.get() - 1);
+            if connection.quiet() {
+                return member.put(connection);
+            }
+            let spoke =
+                connection.client.begun() || matches!(connection.stream.get_ref().peek(&mut [0]), Ok(1..));
+            connection.end(if spoke { "unasked" } else { "member_closed" });
+            member.top_up();
+        };
+        self.shared.executor.spawn(task).detach();
+    }
+
     /// A connection to send on; `None` when none could be had.
     async fn take(self: &Rc<Self>) -> Option<Connection> {
         loop {
@@ -397,9 +434,11 @@
         }
         let answer = match within(deadline, connection.answer()).await {
             Some(Ok(answer)) => answer,
+            // What cannot be read is an answer all the same: the member works, and the request may have run.
             Some(Err(reason)) => {
                 connection.reason = reason;
-                return Report::bare(Ending::Reset);
+                let ending = if reason == MALFORMED { Ending::Error } else { Ending::Reset };
+                return Report::bare(ending);
             }
             None => {
                 connection.reason = "timeout";
@@ -421,7 +460,8 @@
             Verdict::NotReady | Verdict::Done | Verdict::Error => Ending::Error,
         };
         if connection.reason == IN_USE {
-            self.put(connection);
+            connection.client.buffer.release();
+            self.rest(connection);
         }
         Report { ending, answer: Some(answer) }
     }
