Read the configuration anew on SIGHUP and move the watch on discovery to what it names

Taking the signal alone would not do: Config preferred BALANCER_DISCOVERY, which is as old as the process, and the old address goes silent 1.5 s later.

Now SIGHUP reads the file with its own word on discovery first, and the watch moves at once and asks for the whole list. A file that cannot be used (missing, cut off, no settings) changes nothing and leaves a line in the log. Signals are taken before the listener opens. The recorded exchange cuts the file, moves, moves again to the same address under an open request, and ends by SIGTERM; the log check of the test driver has an end now.

--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -3,6 +3,7 @@
 
 use super::clock::Clock;
 use super::config::{Config, SEND_MARGIN};
+use super::log::Log;
 use crate::protocol::catalog::{Catalog, Health, Host};
 use crate::protocol::client;
 use crate::protocol::comment::ID_MOST;
@@ -12,6 +13,7 @@
     Request, RequestId, Role, Router, SessionKey,
 };
 use crate::transport::clients::Clients;
+use crate::transport::discovery::Watch;
 use crate::transport::members::{Member, Report, Shared, Stage};
 use crate::transport::{Answer, Asked, Event, Statement, Ticket};
 use async_channel::{Receiver, Sender};
@@ -70,6 +72,8 @@
     shared: Rc<Shared>,
     clients: Rc<Clients>,
     events: Sender<Event>,
+    watch: Watch,
+    log: Rc<Log>,
     requests: HashMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
     flights: HashMap<(RequestId, u32), Flight>,
@@ -95,6 +99,8 @@
         shared: Rc<Shared>,
         clients: Rc<Clients>,
         events: Sender<Event>,
+        watch: Watch,
+        log: Rc<Log>,
     ) -> Self {
         let now = clock.now();
         Broker {
@@ -105,6 +111,8 @@
             shared,
             clients,
             events,
+            watch,
+            log,
             requests: HashMap::new(),
             tickets: HashMap::new(),
             flights: HashMap::new(),
@@ -211,6 +219,13 @@
                 self.told = true;
                 self.list(catalog);
             }
+            Event::Reload => match Config::anew() {
+                Ok(config) => {
+                    self.watch.move_to(config.discovery);
+                    self.log.reloaded(config.discovery);
+                }
+                Err(what) => self.log.kept(&what),
+            },
             Event::Terminate => {
                 if self.leaving_at.is_none() {
                     self.leaving_at = Some(self.clock.now());
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -30,11 +30,19 @@
 impl Config {
     /// Reads the file that `BALANCER_CONFIG` names; the other variables come before what it says.
     pub fn from_environment() -> Result<Self, String> {
+        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Self::from_file(variable("BALANCER_LISTEN"), variable("BALANCER_DISCOVERY"))
+    }
+
+    /// Reads the file anew. What it says now is newer than the variables, which are as old as the process.
+    pub fn anew() -> Result<Self, String> {
+        Self::from_file(None, None)
+    }
+
+    fn from_file(listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
         let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG {path}: {e}"))?;
-        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        Self::parse(&text, variable("BALANCER_LISTEN"), variable("BALANCER_DISCOVERY"))
-            .map_err(|what| format!("BALANCER_CONFIG {path}: {what}"))
+        Self::parse(&text, listen, discovery).map_err(|what| format!("BALANCER_CONFIG {path}: {what}"))
     }
 
     /// Reads the configuration's text.
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -34,6 +34,16 @@
         self.line(format!("started listen={listen}"));
     }
 
+    /// Notes that the configuration was read anew.
+    pub fn reloaded(&self, discovery: SocketAddr) {
+        self.line(format!("reloaded discovery={discovery}"));
+    }
+
+    /// Notes that a new configuration cannot be used: the old one stays.
+    pub fn kept(&self, what: &str) {
+        self.line(format!("reload_failed kept=old what={what:?}"));
+    }
+
     /// Notes an ended connection.
     pub fn ended(&self, e: &Ended<'_>) {
         let name = if e.name.is_empty() { "-" } else { e.name };
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -6,7 +6,8 @@
 mod log;
 
 use crate::transport::clients::Clients;
-use crate::transport::{discovery, members, signals, Ends};
+use crate::transport::discovery::Watch;
+use crate::transport::{members, signals, Ended, Ends};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use clock::Clock;
@@ -23,13 +24,17 @@
 
 /// Serves until the process is asked to end.
 pub fn run(config: Config) -> Result<(), String> {
+    let signals = signals::take().map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen);
     let listener = listener.and_then(Async::new).map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let executor = Rc::new(LocalExecutor::new());
     let (events, received) = async_channel::bounded(EVENTS);
-    let log = log::Log::start().map_err(|e| format!("log: {e}"))?;
+    let log = Rc::new(log::Log::start().map_err(|e| format!("log: {e}"))?);
     log.started(listener.get_ref().local_addr().unwrap_or(config.listen));
-    let ends: Ends = Rc::new(move |ended| log.ended(ended));
+    let ends: Ends = Rc::new({
+        let log = Rc::clone(&log);
+        move |ended: &Ended<'_>| log.ended(ended)
+    });
 
     let sockets = config.sockets.saturating_sub(RESERVED).max(8);
     let to_clients = sockets * 6 / 10;
@@ -43,13 +48,13 @@
         open: Cell::new(0),
     });
     let clients = Clients::new(Rc::clone(&executor), events.clone(), Rc::clone(&ends), to_clients);
-    let broker = broker::Broker::new(&config, Clock::start(), shared, Rc::clone(&clients), events.clone());
+    let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, config.discovery);
+    let broker =
+        broker::Broker::new(&config, Clock::start(), shared, Rc::clone(&clients), events.clone(), watch, log);
 
     executor.spawn(Rc::clone(&clients).listen(listener)).detach();
-    executor.spawn(discovery::watch(config.discovery, events.clone(), ends)).detach();
-    let watch = signals::watch(events);
     async_io::block_on(executor.run(async {
-        let signals = executor.spawn(watch);
+        let signals = executor.spawn(signals::watch(signals, events));
         broker.run(config.known, received).await;
         signals.cancel().await;
     }));
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -3,9 +3,12 @@
 use super::{within, Ended, Ends, Event};
 use crate::protocol::{catalog, http};
 use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How long a watch asks discovery to wait, and how long an answer may take beyond that.
@@ -15,15 +18,72 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(20);
 const PAUSE_MOST: Duration = Duration::from_millis(1000);
 
+/// The watch on one address at a time.
+pub struct Watch {
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<Event>,
+    ends: Ends,
+    address: SocketAddr,
+    /// Dropping it closes the connection.
+    task: Task<()>,
+    /// The reason for that.
+    dropped: Rc<Cell<&'static str>>,
+}
+
+impl Watch {
+    /// Follows the list at an address from now on.
+    pub fn start(
+        executor: Rc<LocalExecutor<'static>>,
+        events: Sender<Event>,
+        ends: Ends,
+        address: SocketAddr,
+    ) -> Self {
+        let dropped = Rc::new(Cell::new("shutdown"));
+        let watch = watch(address, events.clone(), Rc::clone(&ends), Rc::clone(&dropped));
+        let task = executor.spawn(watch);
+        Watch { executor, events, ends, address, task, dropped }
+    }
+
+    /// Follows the list at another address. Its first call asks for the whole list: the old address's
+    /// versions mean nothing there.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        if address != self.address {
+            self.dropped.set("moved");
+            let (executor, events) = (Rc::clone(&self.executor), self.events.clone());
+            // The old task ends with the assignment, whatever it waits for, and so does its connection.
+            *self = Watch::start(executor, events, Rc::clone(&self.ends), address);
+        }
+    }
+}
+
+/// A connection to discovery; its line of the log is written when it ends.
+struct Line {
+    ends: Ends,
+    peer: SocketAddr,
+    since: Instant,
+    calls: u64,
+    reason: Option<&'static str>,
+    dropped: Rc<Cell<&'static str>>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        let reason = self.reason.unwrap_or(self.dropped.get());
+        let (peer, requests, since) = (self.peer, self.calls, self.since);
+        (self.ends)(&Ended { side: "discovery", peer, name: "", reason, requests, since });
+    }
+}
+
 /// Follows the list for good and tells of each answer that says something.
-pub async fn watch(address: SocketAddr, events: Sender<Event>, ends: Ends) {
+async fn watch(address: SocketAddr, events: Sender<Event>, ends: Ends, dropped: Rc<Cell<&'static str>>) {
     let mut seq = None;
     let mut pause = PAUSE_FIRST;
     loop {
-        let since = Instant::now();
-        let mut calls = 0;
-        let reason = follow(address, &events, &mut seq, &mut calls).await;
-        ends(&Ended { side: "discovery", peer: address, name: "", reason, requests: calls, since });
+        let (ends, dropped, since) = (Rc::clone(&ends), Rc::clone(&dropped), Instant::now());
+        let mut line = Line { ends, peer: address, since, calls: 0, reason: None, dropped };
+        line.reason = Some(follow(address, &events, &mut seq, &mut line.calls).await);
+        let calls = line.calls;
+        drop(line);
         if events.is_closed() {
             return;
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -101,6 +101,8 @@
     },
     /// Discovery told something.
     List(Catalog),
+    /// The process is asked to read its configuration anew.
+    Reload,
     /// The process is asked to end.
     Terminate,
 }
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far longer than anything takes: only a failing test meets it.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -164,11 +164,12 @@
 }
 
 impl Program {
-    fn start(config: &str) -> Program {
+    fn start(config: &str, discovery: &str) -> Program {
         let name = format!("wharfplank-{}-{:?}", std::process::id(), thread::current().id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).expect("the configuration is written");
-        let mut child = command().env("BALANCER_CONFIG", &path).spawn().expect("the program starts");
+        let variables = [("BALANCER_CONFIG", path.as_os_str()), ("BALANCER_DISCOVERY", discovery.as_ref())];
+        let mut child = command().envs(variables).spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("its standard error"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| sender.send(line).is_ok()));
@@ -177,8 +178,14 @@
         Program { child, log, listen, config: path }
     }
 
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().is_ok_and(|s| s.success()));
+    }
+
     fn logs(&self, wanted: &str) {
-        while let Ok(line) = self.log.recv_timeout(PATIENCE) {
+        let end = Instant::now() + PATIENCE;
+        while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
             if wanted.split(' ').all(|part| line.split(' ').any(|p| p == part)) {
                 return;
             }
@@ -203,7 +210,9 @@
     let lines = || script.lines().map(str::trim_end).filter(|l| !l.is_empty() && !l.starts_with('#'));
     let of = |word: &'static str| lines().filter_map(move |l| l.strip_prefix(word));
     let mut parties: HashMap<String, Party> = HashMap::new();
-    parties.insert("d".to_string(), Party::start(false, false));
+    for discovery in ["d", "e"] {
+        parties.insert(discovery.to_string(), Party::start(false, false));
+    }
     for member in of("member ") {
         let (name, rest) = member.split_once(' ').unwrap_or((member, ""));
         parties.insert(name.to_string(), Party::start(true, rest.contains("held")));
@@ -226,7 +235,7 @@
         .replace("$attempts", attempts)
         .replace("$sockets", of("sockets ").next().unwrap_or("256"))
         .replace("$hosts", &hosts.join(","));
-    let mut program = Program::start(&config);
+    let mut program = Program::start(&config, &parties["d"].address);
     let mut clients: HashMap<String, TcpStream> = HashMap::new();
     for line in lines() {
         let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
@@ -234,10 +243,13 @@
         let text = fill(text);
         match (who, verb) {
             ("member" | "attempts" | "sockets", _) => {}
-            ("log", _) => program.logs(rest),
-            ("term", _) => {
-                let id = program.child.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().is_ok_and(|s| s.success()));
+            ("log", _) => program.logs(&fill(rest)),
+            ("term", _) => program.signal("-TERM"),
+            ("hup", cut) => {
+                let length = if cut == "cut" { config.len() / 2 } else { config.len() };
+                let moved = config.replace(&parties["d"].address, &parties["e"].address);
+                std::fs::write(&program.config, &moved[..length]).expect("the configuration is written");
+                program.signal("-HUP");
             }
             ("exit", code) => {
                 let status = program.child.wait().expect("the program ends");
