--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -25,7 +25,7 @@
     ends: Ends,
     address: SocketAddr,
     /// Dropping it closes the connection.
-    task: Task<()>,
+    _task: Task<()>,
     /// The reason for that.
     dropped: Rc<Cell<&'static str>>,
 }
@@ -40,8 +40,8 @@
     ) -> Self {
         let dropped = Rc::new(Cell::new("shutdown"));
         let watch = watch(address, events.clone(), Rc::clone(&ends), Rc::clone(&dropped));
-        let task = executor.spawn(watch);
-        Watch { executor, events, ends, address, task, dropped }
+        let _task = executor.spawn(watch);
+        Watch { executor, events, ends, address, _task, dropped }
     }
 
     /// Follows the list at another address. Its first call asks for the whole list: the old address's
