Close mute clients in time and let them make room first; an id in use is an error

Dropped: CPU (most in a second 0.16 of 0.2, and 0.15 after), memory (3 of 48 MB). Lines to blame: evict() looked at started connections only, so hundreds that never started held their places and usual clients were turned away; STARTUP_WAIT was 10 s, and a started one that sent nothing, or half a command, had no limit at all; accept() ran through its backlog before what it evicted could close; nothing kept ids apart, so a second request with an open one's id reached members as a copy. d and cluster took signs, d any length of time.

--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -22,7 +22,7 @@
 use futures_lite::future;
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,6 +50,8 @@
 
 struct Open {
     ticket: Ticket,
+    /// The id that the client gave it.
+    name: String,
     statement: Rc<Statement>,
     answer: Sender<Answer>,
     attempts: u32,
@@ -76,6 +78,8 @@
     log: Rc<Log>,
     requests: HashMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
+    /// The ids of open requests, as clients gave them.
+    ids: HashSet<String>,
     flights: HashMap<(RequestId, u32), Flight>,
     members: BTreeMap<HostId, Rc<Member>>,
     names: HashMap<String, HostId>,
@@ -115,6 +119,7 @@
             log,
             requests: HashMap::new(),
             tickets: HashMap::new(),
+            ids: HashSet::new(),
             flights: HashMap::new(),
             members: BTreeMap::new(),
             names: HashMap::new(),
@@ -208,8 +213,8 @@
         match event {
             Event::Asked(asked) => self.asked(*asked),
             Event::Gone(ticket) => {
-                if let Some(id) = self.tickets.remove(&ticket) {
-                    self.requests.remove(&id);
+                if let Some(id) = self.tickets.get(&ticket).copied() {
+                    self.close(id);
                     self.tell(routing::Event::Gone(id));
                 }
             }
@@ -261,9 +266,14 @@
 
     fn asked(&mut self, asked: Asked) {
         let Some(class) = self.terms.names.iter().position(|name| *name == asked.class) else {
-            let _ = asked.answer.try_send(Answer::UnknownClass);
+            let _ = asked.answer.try_send(Answer::Malformed("the class is not in the settings"));
             return;
         };
+        // Members tell requests apart by their ids: a second one would be taken for a copy of the first.
+        if !self.ids.insert(asked.id.clone()) {
+            let _ = asked.answer.try_send(Answer::Malformed("the id is in use by another open request"));
+            return;
+        }
         let now = self.clock.now();
         let id = request_id(asked.ticket, &asked.id);
         let request = Request {
@@ -274,17 +284,24 @@
             give_up_at: now + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
             write_age: asked.after_ms.map(|ms| now - ms.saturating_mul(1000)),
         };
-        let Asked { ticket, statement, answer, .. } = asked;
+        let Asked { ticket, statement, answer, id: name, .. } = asked;
         self.tickets.insert(ticket, id);
-        self.requests.insert(id, Open { ticket, statement, answer, attempts: 0 });
+        self.requests.insert(id, Open { ticket, name, statement, answer, attempts: 0 });
         // The age of the session's write counts from the very time that the router takes the request at:
         // a later one would ask for a position some microseconds past the commit.
         self.tell_at(now, routing::Event::Request(request));
     }
 
+    /// Takes a request out of all tables.
+    fn close(&mut self, id: RequestId) -> Option<Open> {
+        let open = self.requests.remove(&id)?;
+        self.tickets.remove(&open.ticket);
+        self.ids.remove(&open.name);
+        Some(open)
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(open) = self.requests.remove(&id) {
-            self.tickets.remove(&open.ticket);
+        if let Some(open) = self.close(id) {
             // A client that has just left does not take it.
             let _ = open.answer.try_send(answer);
         }
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -19,6 +19,8 @@
     pub discovery: SocketAddr,
     /// Descriptors that may be held.
     pub sockets: usize,
+    /// Bytes of memory that may be used.
+    pub memory: usize,
     /// The list as it was last known.
     pub known: Catalog,
     /// The module's settings.
@@ -73,7 +75,9 @@
             catalog::read(known).map_err(|what| format!("known: {what}"))
         })?;
         let sockets = json.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
-        Ok(Config { listen, discovery, sockets: sockets as usize, known, settings, terms })
+        let memory_mb = json.pointer("/limits/memory_mb").and_then(Value::as_f64).unwrap_or(192.0);
+        let memory = (memory_mb.max(1.0) * 1_048_576.0) as usize;
+        Ok(Config { listen, discovery, sockets: sockets as usize, memory, known, settings, terms })
     }
 }
 
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -21,6 +21,9 @@
 const EVENTS: usize = 1024;
 /// Descriptors kept for the listener, discovery, signals, standard streams and the reactor.
 const RESERVED: usize = 24;
+/// The part of the memory that large messages of clients may fill: a buffer may double while it grows, and its
+/// statement is kept beside it until the answer.
+const LARGE_PART: usize = 8;
 
 /// Serves until the process is asked to end.
 pub fn run(config: Config) -> Result<(), String> {
@@ -47,7 +50,13 @@
         most_each: ((sockets - to_clients) / 4).max(1),
         open: Cell::new(0),
     });
-    let clients = Clients::new(Rc::clone(&executor), events.clone(), Rc::clone(&ends), to_clients);
+    let clients = Clients::new(
+        Rc::clone(&executor),
+        events.clone(),
+        Rc::clone(&ends),
+        to_clients,
+        config.memory / LARGE_PART,
+    );
     let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, config.discovery);
     let broker =
         broker::Broker::new(&config, Clock::start(), shared, Rc::clone(&clients), events.clone(), watch, log);
--- a/src/protocol/comment.rs
+++ b/src/protocol/comment.rs
@@ -1,9 +1,12 @@
 //! The comment that a client's statement starts with, and what it says of the request.
 
 use std::ops::Range;
+use std::str::FromStr;
 
 /// The longest id that is taken; the rest of the module's 36 bytes keep ids apart.
 pub const ID_MOST: usize = 20;
+/// The longest wait that is taken: a day.
+const WAIT_MOST_MS: u32 = 86_400_000;
 
 /// What the comment and the statement say of a request, as slices of the statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,15 +70,22 @@
     Ok(Comment {
         id,
         class: class.ok_or("the comment has no c")?,
-        wait_ms: wait.parse().map_err(|_| "d is not a number of milliseconds")?,
+        wait_ms: number(wait)
+            .filter(|ms| (1..=WAIT_MOST_MS).contains(ms))
+            .ok_or("d is no number of milliseconds")?,
         wait_at,
-        group: group.ok_or("the comment has no cluster")?.parse().map_err(|_| "cluster is not a number")?,
+        group: number(group.ok_or("the comment has no cluster")?).ok_or("cluster is not a number")?,
         after_ms,
         retry,
         key: quoted(&statement[from + length + 2..]),
     })
 }
 
+/// Digits and nothing else: a sign is no part of a number here.
+fn number<T: FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 /// A need is rounded up: a part of a millisecond counts as a whole one.
 fn whole_up(text: &str) -> Option<i64> {
     let (whole, part) = text.split_once('.').unwrap_or((text, ""));
@@ -83,7 +93,7 @@
         return None;
     }
     let up = i64::from(part.bytes().any(|b| b != b'0'));
-    whole.parse::<i64>().ok()?.checked_add(up)
+    number::<i64>(whole)?.checked_add(up)
 }
 
 fn quoted(text: &str) -> Option<&str> {
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -15,14 +15,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// What a client may take to say who it is, and to take an answer off its hands.
-const STARTUP_WAIT: Duration = Duration::from_secs(10);
+/// What a client may take, from its accept on, until it has asked something for the first time, and from its
+/// first byte on until a message is whole: within 3 s of connecting it is to hear what is wrong.
+const FIRST_WAIT: Duration = Duration::from_millis(2_300);
+const MESSAGE_WAIT: Duration = Duration::from_millis(2_300);
+/// What it may take to take an answer off the proxy's hands.
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 /// How long an error that ends a connection may take to arrive, and what is read past meanwhile.
 const LINGER: Duration = Duration::from_millis(500);
-/// What all connections together may buffer past a modest size each. A message that does not fit ends its
-/// connection: it is not whole, so nothing that was taken is lost.
-const LARGE_MOST: usize = 48 * 1024 * 1024;
+/// Connections that have asked nothing for so long make room first.
+const MUTE: Duration = Duration::from_millis(250);
 /// Bytes that are read ahead of the query in work; past that the client waits.
 const AHEAD_MOST: usize = 16 * 1024;
 /// Pause where no descriptor was left for a connection.
@@ -34,6 +36,11 @@
     events: Sender<Event>,
     ends: Ends,
     most: usize,
+    /// What all connections together may buffer past a modest size each. A message that does not fit ends its
+    /// connection: it is not whole, so nothing that was taken is lost.
+    large_most: usize,
+    /// Connections that wait for their last error to arrive. They hold descriptors, so their number is bound.
+    lingering: Cell<usize>,
     peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
     /// Bytes in buffers past a modest size.
@@ -56,8 +63,10 @@
 /// What others may see of one connection.
 #[derive(Default)]
 struct Peer {
-    /// Since when it stands between requests.
+    /// Since when it stands between requests, or since when it has not asked any.
     idle: Cell<Option<Instant>>,
+    /// Whether it has asked something.
+    asked: Cell<bool>,
     evicted: Cell<bool>,
     /// Whether it has had an answer, or was there before the process was asked to end.
     settled: Cell<bool>,
@@ -69,6 +78,7 @@
     requests: u64,
     /// What it has of the bytes that all connections share.
     large: usize,
+    large_most: usize,
     shared: Rc<Cell<usize>>,
 }
 
@@ -87,12 +97,15 @@
         events: Sender<Event>,
         ends: Ends,
         most: usize,
+        large_most: usize,
     ) -> Rc<Self> {
         Rc::new(Clients {
             executor,
             events,
             ends,
             most,
+            large_most,
+            lingering: Cell::new(0),
             peers: RefCell::default(),
             numbers: Cell::new(0),
             large: Rc::default(),
@@ -140,7 +153,11 @@
             };
             match future::or(async { Some(listener.accept().await) }, rung).await {
                 None => {}
-                Some(Ok((stream, address))) => self.admit(stream, address),
+                Some(Ok((stream, address))) => {
+                    self.admit(stream, address);
+                    // Many that come at once must not keep those from closing that make room for them.
+                    future::yield_now().await;
+                }
                 Some(Err(_)) => {
                     // No descriptor left, most likely: make room, and go on.
                     self.evict();
@@ -158,10 +175,12 @@
         let clients = Rc::clone(self);
         let task = async move {
             let shared = Rc::clone(&clients.large);
-            let mut connection =
-                Connection { stream, server: Server::default(), requests: 0, large: 0, shared };
+            let (server, large_most) = (Server::default(), clients.large_most);
+            let mut connection = Connection { stream, server, requests: 0, large: 0, large_most, shared };
             let reason = if full {
-                connection.fatal(Violation { code: "53300", what: "too many connections" }).await;
+                clients
+                    .fatal(&mut connection, Violation { code: "53300", what: "too many connections" })
+                    .await;
                 "too_many_connections"
             } else {
                 clients.serve(&mut connection, &peer).await.unwrap_or_else(|reason| reason)
@@ -178,11 +197,19 @@
         self.numbers.replace(self.numbers.get() + 1)
     }
 
-    /// Asks the connection that stood idle longest to close.
+    /// Asks a connection without an open request to close: one that has long asked nothing, else the one
+    /// that stood idle longest, else one that has only just come.
     fn evict(&self) -> bool {
         let peers = self.peers.borrow();
-        let idle = peers.values().filter(|p| !p.evicted.get()).filter_map(|p| Some((p.idle.get()?, p)));
-        let Some((_, peer)) = idle.min_by_key(|(since, _)| *since) else { return false };
+        let now = Instant::now();
+        let rank = |p: &Peer, since: Instant| match (p.asked.get(), now - since >= MUTE) {
+            (false, true) => 0,
+            (true, _) => 1,
+            (false, false) => 2,
+        };
+        let idle = peers.values().filter(|p| !p.evicted.get());
+        let idle = idle.filter_map(|p| p.idle.get().map(|since| (rank(p, since), since, p)));
+        let Some((.., peer)) = idle.min_by_key(|(rank, since, _)| (*rank, *since)) else { return false };
         peer.evicted.set(true);
         self.bell.notify(usize::MAX);
         true
@@ -191,29 +218,47 @@
     /// Serves one connection to its end, and says why it ended.
     async fn serve(&self, c: &mut Connection, peer: &Peer) -> Result<Reason, Reason> {
         let _ = c.stream.get_ref().set_nodelay(true);
-        let startup = Instant::now() + STARTUP_WAIT;
+        let accepted = Instant::now();
         let mut started = false;
+        // Since when a message has been on its way.
+        let mut begun = None;
         loop {
             let asked = match c.server.advance() {
                 Ok(None) => {
                     c.flush().await?;
-                    let idle = started && c.server.buffer.bytes().is_empty();
-                    peer.idle.set(idle.then(Instant::now));
+                    let empty = c.server.buffer.bytes().is_empty();
+                    let idle = started && empty;
+                    if empty {
+                        begun = None;
+                    } else {
+                        begun.get_or_insert_with(Instant::now);
+                    }
+                    // One that is not yet whole holds a place all the same; until something was asked for
+                    // the first time it may have to give it up.
+                    let since = if peer.asked.get() { Instant::now() } else { accepted };
+                    peer.idle.set((idle || !peer.asked.get()).then_some(since));
+                    let first = (!peer.asked.get()).then_some(accepted + FIRST_WAIT);
+                    let due = begun.map(|at| at + MESSAGE_WAIT).into_iter().chain(first).min();
                     let read = self.read_on(c, peer, idle);
-                    let read = if started { Some(read.await) } else { within(startup, read).await };
+                    let read = match due {
+                        Some(due) => within(due, read).await,
+                        None => Some(read.await),
+                    };
                     peer.idle.set(None);
-                    match read.unwrap_or(Err("startup_timeout")) {
-                        Err("out_of_memory") => {
-                            c.fatal(Violation { code: "53200", what: "no memory for the message" }).await;
-                            return Ok("out_of_memory");
+                    match read.unwrap_or(Err(if started { "request_timeout" } else { "startup_timeout" })) {
+                        Err(reason) => {
+                            if let Some(violation) = violation(reason) {
+                                self.fatal(c, violation).await;
+                            }
+                            return Ok(reason);
                         }
-                        Err(reason) => return Ok(reason),
                         Ok(0) => return Ok("client_closed"),
                         _ => continue,
                     }
                 }
                 Ok(Some(Command::Started)) => {
                     started = true;
+                    begun = None;
                     continue;
                 }
                 Ok(Some(Command::Empty)) => None,
@@ -222,15 +267,17 @@
                 Ok(Some(Command::Query(query))) => match comment::read(query) {
                     Ok(comment) => Some(self.asked(query, &comment)),
                     Err(what) => {
-                        c.fatal(Violation { code: "08P01", what }).await;
+                        self.fatal(c, Violation { code: "08P01", what }).await;
                         return Ok("malformed_request");
                     }
                 },
                 Err(violation) => {
-                    c.fatal(violation).await;
+                    self.fatal(c, violation).await;
                     return Ok("protocol_violation");
                 }
             };
+            begun = None;
+            peer.asked.set(true);
             match asked {
                 None => {
                     if !self.until_ready().await {
@@ -252,8 +299,18 @@
                             return Ok(reason);
                         }
                     };
-                    if let Some(reason) = c.answer(answer).await {
-                        return Ok(reason);
+                    match answer {
+                        Answer::Served(messages) => c.server.serve(&messages),
+                        Answer::Refused(after_ms) => {
+                            let detail = (after_ms > 0).then(|| after_ms.to_string());
+                            let what = "refused: trying again is harmless";
+                            c.server.error("53300", what, detail.as_deref());
+                        }
+                        Answer::Failed => c.server.error("58000", "failed: it may have run", None),
+                        Answer::Malformed(what) => {
+                            self.fatal(c, Violation { code: "08P01", what }).await;
+                            return Ok("malformed_request");
+                        }
                     }
                 }
             }
@@ -261,6 +318,18 @@
         }
     }
 
+    /// Tells the client why the connection ends, and waits a little until it has it, unless many wait.
+    async fn fatal(&self, c: &mut Connection, violation: Violation) {
+        c.server.fatal(violation);
+        let waits = self.lingering.get() < self.most / 4;
+        if c.flush().await.is_err() || c.stream.get_ref().shutdown(Shutdown::Write).is_err() || !waits {
+            return;
+        }
+        self.lingering.set(self.lingering.get() + 1);
+        c.drain().await;
+        self.lingering.set(self.lingering.get() - 1);
+    }
+
     fn asked(&self, query: &str, comment: &comment::Comment<'_>) -> (Asked, async_channel::Receiver<Answer>) {
         let (answer, receiver) = bounded(1);
         let asked = Asked {
@@ -298,7 +367,8 @@
                 Leaving::Idle => idle && peer.settled.get(),
                 Leaving::All => true,
             };
-            let close = (idle && peer.evicted.get()) || leave;
+            let mute = !peer.asked.get();
+            let close = ((idle || mute) && peer.evicted.get()) || leave;
             let rung = async {
                 if !close {
                     bell.await;
@@ -346,7 +416,7 @@
         let large = self.server.buffer.capacity().saturating_sub(MODEST);
         self.shared.set(self.shared.get() - self.large + large);
         self.large = large;
-        if bound && large > 0 && self.shared.get() > LARGE_MOST {
+        if bound && large > 0 && self.shared.get() > self.large_most {
             return Err("out_of_memory");
         }
         let count = self.stream.read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
@@ -368,32 +438,21 @@
         }
     }
 
-    /// Queues an answer; the reason if the connection ends with it.
-    async fn answer(&mut self, answer: Answer) -> Option<Reason> {
-        match answer {
-            Answer::Served(messages) => self.server.serve(&messages),
-            Answer::Refused(after_ms) => {
-                let detail = (after_ms > 0).then(|| after_ms.to_string());
-                self.server.error("53300", "refused: trying again is harmless", detail.as_deref());
-            }
-            Answer::Failed => self.server.error("58000", "failed: it may have run", None),
-            Answer::UnknownClass => {
-                self.fatal(Violation { code: "08P01", what: "the class is not in the settings" }).await;
-                return Some("malformed_request");
-            }
-        }
-        None
-    }
-
-    /// Tells the client why the connection ends. What it still sends is read for a moment: a connection
-    /// closed over unread bytes is reset, and the error would be lost with it.
-    async fn fatal(&mut self, violation: Violation) {
-        self.server.fatal(violation);
-        if self.flush().await.is_err() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
-            return;
-        }
+    /// Reads past what the client still sends, for a moment: a connection closed over unread bytes is reset,
+    /// and the error would be lost with it.
+    async fn drain(&mut self) {
         let mut sink = [0; 4096];
         let drain = async { while matches!(self.stream.read(&mut sink).await, Ok(1..)) {} };
         within(Instant::now() + LINGER, drain).await;
     }
 }
+
+/// What the client is told where the connection ends for this reason, if anything.
+fn violation(reason: Reason) -> Option<Violation> {
+    let (code, what) = match reason {
+        "out_of_memory" => ("53200", "no memory for the message"),
+        "startup_timeout" | "request_timeout" => ("57P05", "nothing whole was asked in time"),
+        _ => return None,
+    };
+    Some(Violation { code, what })
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -72,8 +72,8 @@
     Refused(i64),
     /// Failed, with no promise about its effect.
     Failed,
-    /// The request names a class that the settings do not know.
-    UnknownClass,
+    /// The request cannot be used; in words.
+    Malformed(&'static str),
 }
 
 /// What the drivers tell the broker.
