Send long reads of any position to one replica of a group, so that the others stay fresh

A probe at the module's give_up (line, attempts, shed, each member's flights, limit, doubt) showed 3540 of 3550 refusals at one proxy pair to be reads that no member had seen at 47 % of their wait, with shed at 0.00 and replicas beside them that held nothing (f0): usable and idle, but behind.

Dropped: shedding (0.00), suspicion (7 % of the replicas seen), budget of cold members (1.0), limits of replicas (0 or 1 of 4 in flight). Reports are 2 % of requests at 25 times the work, about 2 in flight in a group of two replicas, and read() spread them over both by flights, so that both stood still most of the time and bounded reads waited for the primary's limit.

Now a read that needs no position, of a class that takes 4 times as long as the shortest, goes to the replica with the lowest id that ties within twice the edge and has room: the same one at all routers without talk.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -10,6 +10,10 @@
 
 /// Replicas within this share of the closest one's latency tie.
 const BAND: f64 = 0.5;
+/// A class that takes this many times as long as the shortest is long, and its reads may go to a replica this
+/// many times as slow as those that tie.
+const LONG: f64 = 4.0;
+const KEEPER: f64 = 2.0;
 /// Weight of own-zone traffic where ties go to the member that answered this router least lately.
 const LOCAL_PULL: f64 = 0.5;
 /// Requests' worth of lead that the router's own order of members gives among ties: routers with little
@@ -522,7 +526,12 @@
             let ties = order.iter().filter(|c| c.0 <= within && self.members[&c.1].knows(minimum));
             ties.min_by(|a, b| a.2.cmp(&b.2).then(a.3.total_cmp(&b.3))).map(|c| c.1)
         };
-        let (close, other) = (fresh(edge), fresh(f64::MAX));
+        // A replica may apply nothing while it holds a long read. One that needs no position goes to the same
+        // replica from all routers, as long as it has room: the others stay fresh for the reads that do.
+        let least = self.usual.iter().copied().fold(f64::MAX, f64::min);
+        let long = minimum.is_none() && self.usual[p.class.0] > LONG * least;
+        let keeper = order.iter().filter(|c| long && c.0 <= KEEPER * edge).map(|c| c.1).min();
+        let (close, other) = (keeper.or_else(|| fresh(edge)), fresh(f64::MAX));
         if let Some(host) = close {
             return self.send(id, host);
         }
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -128,3 +128,17 @@
     let actions = b.ask(BOUNDED);
     assert!(probes(&actions).is_empty() && sends(&actions)[0].1 == HostId(1));
 }
+
+/// Guards against replicas that all stand still: nothing is applied at one that holds a long read, so long reads
+/// that need no position share a replica while it has room, and short ones still spread.
+#[test]
+fn long_reads_share_a_replica() {
+    let mut settings = settings();
+    settings.classes[ANY.0].aim = 8_000_000;
+    let mut b = Bench::new(settings);
+    let hosts: Vec<HostId> =
+        (0..4).flat_map(|_| sends(&b.ask_with(ANY, None, 20_000_000))).map(|s| s.1).collect();
+    assert_eq!(hosts, vec![HostId(2); 4]);
+    let next = sends(&b.ask_with(ANY, None, 20_000_000))[0].1;
+    assert_eq!(next, HostId(3), "no room at the first");
+}
