Take values of up to 1 MiB, with the memory of all member buffers bound together

Now a row may have 1 MiB and a query twice that, and what member buffers hold past 16 KiB each is bound to an eighth of limits.memory_mb together, as for clients; a length past the limit is still refused before it is read.

--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -21,8 +21,8 @@
 const EVENTS: usize = 1024;
 /// Descriptors kept for the listener, discovery, signals, standard streams and the reactor.
 const RESERVED: usize = 24;
-/// The part of the memory that large messages of clients may fill: a buffer may double while it grows, and its
-/// statement is kept beside it until the answer.
+/// The part of the memory that large messages of clients may fill, and as much for those of members: a buffer
+/// may double while it grows, and what is passed on is copied beside it.
 const LARGE_PART: usize = 8;
 
 /// Serves until the process is asked to end.
@@ -49,6 +49,8 @@
         most: sockets - to_clients,
         most_each: ((sockets - to_clients) / 4).max(1),
         open: Cell::new(0),
+        large: Cell::new(0),
+        large_most: config.memory / LARGE_PART,
         check_after: Cell::new(members::CHECK_AFTER),
     });
     let clients = Clients::new(
--- a/src/protocol/client.rs
+++ b/src/protocol/client.rs
@@ -5,9 +5,9 @@
 
 /// The longest row that is taken from a member, the longest of the other messages, and all the bytes of one
 /// answer: noise must not be waited for as if it were a message.
-const ROW_MOST: usize = 72 * 1024;
+const ROW_MOST: usize = 1024 * 1024;
 const MESSAGE_MOST: usize = 16 * 1024;
-const ANSWER_MOST: usize = 128 * 1024;
+const ANSWER_MOST: usize = ROW_MOST + 64 * 1024;
 
 /// A member broke the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/protocol/server.rs
+++ b/src/protocol/server.rs
@@ -3,9 +3,9 @@
 
 use super::buffer::{frame, message, text, until_zero, Buffer, Malformed};
 
-/// The longest startup message and query that are taken: a value of 64 KiB is twice that in hex.
+/// The longest startup message and query that are taken: a value of 1 MiB is twice that in hex.
 const STARTUP_MOST: usize = 10_000;
-const QUERY_MOST: usize = 192 * 1024;
+const QUERY_MOST: usize = 2 * 1024 * 1024 + 64 * 1024;
 
 const VERSION_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = 80_877_102;
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -4,6 +4,7 @@
 //! run apart from the attempts and keep a few spare, so that a send seldom waits for a handshake.
 
 use super::{within, Ended, Ends, Statement};
+use crate::protocol::buffer::MODEST;
 use crate::protocol::client::{self, Answer, Broken, Client, Verdict};
 use crate::routing::Ending;
 use async_channel::{bounded, Sender};
@@ -78,6 +79,10 @@
     pub most_each: usize,
     /// Connections to all members that are up or coming up.
     pub open: Cell<usize>,
+    /// What all connections together buffer past a modest size each.
+    pub large: Cell<usize>,
+    /// The most that it may be.
+    pub large_most: usize,
     /// See [`CHECK_AFTER`].
     pub check_after: Cell<Duration>,
 }
@@ -120,12 +125,15 @@
     since: Instant,
     used: Instant,
     requests: u64,
+    /// What it has of the bytes that all connections share.
+    large: usize,
     /// Why it ends, should it end now.
     reason: &'static str,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.hold(0);
         self.member.open.set(self.member.open.get() - 1);
         self.member.shared.open.set(self.member.shared.open.get() - 1);
         (self.member.shared.ends)(&Ended {
@@ -140,6 +148,14 @@
 }
 
 impl Connection {
+    /// Counts the memory of its buffer; false when all connections together have too much.
+    fn hold(&mut self, large: usize) -> bool {
+        let shared = &self.member.shared;
+        shared.large.set(shared.large.get() - self.large + large);
+        self.large = large;
+        large == 0 || shared.large.get() <= shared.large_most
+    }
+
     fn end(mut self, reason: &'static str) {
         self.reason = reason;
     }
@@ -180,6 +196,10 @@
                 (Err(Broken), _) => return Err(MALFORMED),
             }
             let begun = self.client.begun();
+            self.client.buffer.space();
+            if !self.hold(self.client.buffer.capacity().saturating_sub(MODEST)) {
+                return Err(MALFORMED);
+            }
             let read = self.stream.read(self.client.buffer.space());
             let read = if begun { within(Instant::now() + STALL, read).await } else { Some(read.await) };
             match read {
@@ -343,8 +363,8 @@
         }
         self.open.set(self.open.get() + 1);
         let (member, now) = (Rc::clone(self), Instant::now());
-        let (since, used, requests) = (now, now, 0);
-        Ok(Connection { stream, client, peer, member, since, used, requests, reason: IDLE })
+        let (since, used, requests, large) = (now, now, 0, 0);
+        Ok(Connection { stream, client, peer, member, since, used, requests, large, reason: IDLE })
     }
 
     fn put(self: &Rc<Self>, mut connection: Connection) {
@@ -522,6 +542,7 @@
         };
         if connection.reason == IN_USE {
             connection.client.buffer.release();
+            connection.hold(0);
             self.rest(connection);
         }
         Report { ending, answer: Some(answer) }
