Doubt a member little for a broken connection, and clear a replica whose position moved on

Lines to blame: outcome() gave a reset as much doubt as a refused connect, so two in a row left a working member out, though only the second tells that a process is gone; probed() cleared a primary that moved on since the suspicion, but no replica.

Now a reset adds 0.5, a connection that was not to be had 2, and any member whose position moved on since the suspicion works.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -27,10 +27,11 @@
 const SLOWEST: f64 = 8.0;
 /// µs in which a latency not measured anew drifts back to the usual one: the member is tried again.
 const FORGET: f64 = 8e6;
-/// Doubt is own work that a silent member has not answered, in usual times; a full member adds `WARY`, and a
-/// connection that failed or broke adds `BROKEN`: single ones break at members that work, a dead member's break
-/// together. From `WARY` on no writes, from `SUSPECT` on trials only.
-const BROKEN: f64 = 2.0;
+/// Doubt is own work that a silent member has not answered, in usual times; a full member adds `WARY`, a
+/// connection that was not to be had `REFUSED`, one that broke `BROKEN`: single ones break at members that work,
+/// while a dead one refuses the next. From `WARY` on no writes, from `SUSPECT` on trials only.
+const REFUSED: f64 = 2.0;
+const BROKEN: f64 = 0.5;
 const WARY: f64 = 3.0;
 const SUSPECT: f64 = 7.0;
 /// A safe attempt at a suspect is taken back after this many usual times.
@@ -773,7 +774,8 @@
             Ending::Timeout => m.debt += (now - flight.from.max(m.answered_at)) as f64 / usual * health,
             // One that is full proves nothing: a hung one fills up too.
             Ending::Full => m.debt += WARY,
-            Ending::ConnectFailed | Ending::Reset => m.debt += BROKEN,
+            Ending::ConnectFailed => m.debt += REFUSED,
+            Ending::Reset => m.debt += BROKEN,
             Ending::Cancelled | Ending::Moot => {}
         }
         let quota = o.latency as f64 / self.settings.classes[flight.class.0].aim.max(1) as f64;
@@ -856,8 +858,8 @@
             m.queue = probed.queue.unwrap_or(0.0);
             let at = probed.position.unwrap_or(now - LIST_AGE).min(now);
             m.role(probed.role, at);
-            // A hung one's position stands still: a primary that moved on since the suspicion works.
-            if probed.role == Some(Role::Primary) && m.suspicion.as_ref().is_some_and(|s| at > s.since) {
+            // A hung one's position stands still: a member that moved on since the suspicion works.
+            if m.suspicion.as_ref().is_some_and(|s| at > s.since) {
                 m.suspicion = None;
                 m.debt = 0.0;
                 m.answered_at = now;
