Clear by its position only a replica that broken connections spoke against, not a silent one

Line to blame: probed() cleared every suspicion of a replica that moved on.

Now a suspicion knows whether connections or silence gave rise to it, and only the first is cleared.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -144,6 +144,8 @@
 
 struct Suspicion {
     since: Micros,
+    /// Whether connections gave rise to it, not silence: a position that moves on is no answer to a silent one.
+    broken: bool,
     trial_at: Micros,
 }
 
@@ -812,7 +814,7 @@
         if write_done {
             self.remember(flight.key, o.position);
         }
-        self.judge(o.host);
+        self.judge(o.host, matches!(o.ending, Ending::ConnectFailed | Ending::Reset));
         let never_ran =
             matches!(o.ending, Ending::Full | Ending::ConnectFailed | Ending::Moot | Ending::Miss);
         if o.terminal || o.ending == Ending::Ok {
@@ -858,8 +860,10 @@
             m.queue = probed.queue.unwrap_or(0.0);
             let at = probed.position.unwrap_or(now - LIST_AGE).min(now);
             m.role(probed.role, at);
-            // A hung one's position stands still: a member that moved on since the suspicion works.
-            if m.suspicion.as_ref().is_some_and(|s| at > s.since) {
+            // A hung one's position stands still: a primary that moved on since the suspicion works, and so does
+            // a replica that only failed connections spoke against.
+            let led = probed.role == Some(Role::Primary);
+            if m.suspicion.as_ref().is_some_and(|s| at > s.since && (led || s.broken)) {
                 m.suspicion = None;
                 m.debt = 0.0;
                 m.answered_at = now;
@@ -894,13 +898,13 @@
     }
 
     /// Turns doubt into suspicion.
-    fn judge(&mut self, host: HostId) {
+    fn judge(&mut self, host: HostId, broken: bool) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&host) else { return };
         // A wary member with nothing in flight would be left alone for good: only trials clear it.
         let floor = if m.flights.is_empty() { WARY } else { SUSPECT };
         if m.suspicion.is_none() && m.doubt(now, &self.usual) >= floor {
-            m.suspicion = Some(Suspicion { since: now, trial_at: now + TRIAL_FIRST });
+            m.suspicion = Some(Suspicion { since: now, broken, trial_at: now + TRIAL_FIRST });
         }
     }
 
@@ -909,7 +913,7 @@
         self.due = None;
         let hosts: BTreeSet<HostId> = self.pending.values().filter_map(|p| p.flying).collect();
         for host in hosts {
-            self.judge(host);
+            self.judge(host, false);
             let group = self.members[&host].group;
             let elsewhere = self.leader(group).is_some_and(|h| h != host && self.members[&h].usable());
             let Some(m) = self.members.get_mut(&host) else { continue };
