Try a silent replica as soon as its position has moved on, and keep suspects' reports young

Dropped: a clearing by the report itself (a member that answers nothing while probes succeed must stay out, as the inherited test says). Lines to blame: next_trial()'s pauses took no notice of a report, and suspects were probed only once a trial was due.

Now reads ask for a suspect's report when it is older than 100 ms, and one that moved on since the suspicion gets its one trial at once, the next no sooner than 0.4 s after.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -146,6 +146,7 @@
     since: Micros,
     /// Whether connections gave rise to it, not silence: a position that moves on is no answer to a silent one.
     broken: bool,
+    tried_at: Micros,
     trial_at: Micros,
 }
 
@@ -510,6 +511,14 @@
             }
             self.probe(host);
         }
+        // Reads keep the reports of suspects young: one whose position moves on works again.
+        let aged = |h: &&HostId| {
+            let m = &self.members[h];
+            m.suspicion.is_some() && now - m.reported_at >= REPORT_SHARED
+        };
+        let aged: Vec<HostId> =
+            self.groups.get(&group).into_iter().flat_map(|g| &g.members).filter(aged).copied().collect();
+        aged.into_iter().for_each(|host| self.probe(host));
         let (Some(p), Some(g)) = (self.pending.get(&id), self.groups.get(&group)) else { return false };
         let open = |h: &&HostId| {
             let m = &self.members[h];
@@ -581,7 +590,7 @@
         let Some(rate) = self.members.get(&host).map(|m| self.pace(m.group) / PACE_SPAN) else { return };
         let pause = (TRIAL_EVERY / rate.max(1e-12)).clamp(TRIAL_PAUSE.0, TRIAL_PAUSE.1) as Micros;
         if let Some(s) = self.members.get_mut(&host).and_then(|m| m.suspicion.as_mut()) {
-            s.trial_at = self.now + pause;
+            (s.tried_at, s.trial_at) = (self.now, self.now + pause);
         }
     }
 
@@ -868,6 +877,10 @@
                 m.debt = 0.0;
                 m.answered_at = now;
             }
+            // A silent one that moved on is tried at once, since it may only have been slow.
+            if let Some(s) = m.suspicion.as_mut().filter(|s| at > s.since) {
+                s.trial_at = s.trial_at.min(s.tried_at + TRIAL_FIRST).max(now);
+            }
         }
         let (group, waiting) = (m.group, m.waiting(now));
         let (led, pace) = (self.leader(group) == Some(probed.host), self.pace(group));
@@ -904,7 +917,7 @@
         // A wary member with nothing in flight would be left alone for good: only trials clear it.
         let floor = if m.flights.is_empty() { WARY } else { SUSPECT };
         if m.suspicion.is_none() && m.doubt(now, &self.usual) >= floor {
-            m.suspicion = Some(Suspicion { since: now, broken, trial_at: now + TRIAL_FIRST });
+            m.suspicion = Some(Suspicion { since: now, broken, tried_at: 0, trial_at: now + TRIAL_FIRST });
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -448,3 +448,25 @@
     b.probed(2, Role::Replica, b.now - 1);
     assert_eq!(sends(&b.ask(ANY))[0].1, HostId(2), "it moved on");
 }
+
+/// Guards against a replica that was only slow and stays left out: reads keep its report young, and one trial goes
+/// out as soon as its position has moved on.
+#[test]
+fn a_silent_replica_that_moved_on_is_tried_at_once() {
+    let mut b = Bench::with(settings(), vec![entry(1, true), entry(2, false)]);
+    let mut asked = Vec::new();
+    for _ in 0..100 {
+        let mut actions = b.ask(ANY);
+        actions.extend(b.pass(20_000));
+        asked = probes(&actions);
+        if !asked.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(asked, vec![HostId(2)], "the silent one's report is asked for");
+    b.now += 20_000;
+    let mut actions = b.probed(2, Role::Replica, b.now - 1);
+    actions.extend(b.ask(ANY));
+    let trials = sends(&actions).iter().filter(|sent| sent.1 == HostId(2)).count();
+    assert_eq!(trials, 1, "one trial at once, and the rest elsewhere");
+}
