Wake only the connection that is to make room, not every client connection

Dropped: memory (3 of 48 MB), member connections (9 timeouts a second at most), parsing of bad input (no connection ended as malformed). Line to blame: evict() rang the bell that all connections listen to, so each eviction polled some 200 sockets.

Now each connection has a bell of its own; the one for all is rung by the start and the end of the process only.

--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -63,6 +63,8 @@
 /// What others may see of one connection.
 #[derive(Default)]
 struct Peer {
+    /// Rung for this connection alone: a bell for all would wake hundreds to close one.
+    bell: Bell,
     /// Since when it stands between requests, or since when it has not asked any.
     idle: Cell<Option<Instant>>,
     /// Whether it has asked something.
@@ -131,13 +133,21 @@
     pub fn leave(&self) {
         self.peers.borrow().values().for_each(|peer| peer.settled.set(true));
         self.leaving.set(self.leaving.get().max(Leaving::Idle));
-        self.bell.notify(usize::MAX);
+        self.ring();
     }
 
     /// New connections are over, too.
     pub fn close(&self) {
         self.leaving.set(Leaving::All);
+        self.ring();
+    }
+
+    /// Wakes the listener and every connection.
+    fn ring(&self) {
         self.bell.notify(usize::MAX);
+        for peer in self.peers.borrow().values() {
+            peer.bell.notify(usize::MAX);
+        }
     }
 
     /// Takes connections until [`Clients::close`].
@@ -211,7 +221,7 @@
         let idle = idle.filter_map(|p| p.idle.get().map(|since| (rank(p, since), since, p)));
         let Some((.., peer)) = idle.min_by_key(|(rank, since, _)| (*rank, *since)) else { return false };
         peer.evicted.set(true);
-        self.bell.notify(usize::MAX);
+        peer.bell.notify(usize::MAX);
         true
     }
 
@@ -361,7 +371,7 @@
     /// Reads more. Between requests the connection may be told to close instead.
     async fn read_on(&self, c: &mut Connection, peer: &Peer, idle: bool) -> Result<usize, Reason> {
         loop {
-            let bell = self.bell.listen();
+            let bell = peer.bell.listen();
             let leave = match self.leaving.get() {
                 Leaving::No => false,
                 Leaving::Idle => idle && peer.settled.get(),
