Let idle clients that have asked give way early, so that the others find a connection

Lines to blame: evict() acted only at the full number of places, six tenths of the descriptors, while the clients' side holds a third of them at most for requests; those that asked once filled that third and nothing closed them.

Now, once more than two fifths of the places have asked, the one idle longest closes for the next that asks.

--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -19,12 +19,17 @@
 /// first byte on until a message is whole: within 3 s of connecting it is to hear what is wrong.
 const FIRST_WAIT: Duration = Duration::from_millis(2_300);
 const MESSAGE_WAIT: Duration = Duration::from_millis(2_300);
+/// How long it may stand idle between requests. Clients hold a bound number of connections, and many ask once and
+/// keep theirs for good: those would leave none for the others.
+const IDLE_MOST: Duration = Duration::from_millis(2_100);
 /// What it may take to take an answer off the proxy's hands.
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 /// How long an error that ends a connection may take to arrive, and what is read past meanwhile.
 const LINGER: Duration = Duration::from_millis(500);
-/// Connections that have asked nothing for so long make room first.
-const MUTE: Duration = Duration::from_millis(250);
+/// Connections that have asked nothing for so long make room first: a client sends its startup at once.
+const MUTE: Duration = Duration::from_millis(20);
+/// Then those that stood idle for so long since their last answer.
+const REST: Duration = Duration::from_secs(2);
 /// Bytes that are read ahead of the query in work; past that the client waits.
 const AHEAD_MOST: usize = 16 * 1024;
 /// Pause where no descriptor was left for a connection.
@@ -41,6 +46,8 @@
     large_most: usize,
     /// Connections that wait for their last error to arrive. They hold descriptors, so their number is bound.
     lingering: Cell<usize>,
+    /// Connections that have asked something.
+    asked: Cell<usize>,
     peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
     /// Bytes in buffers past a modest size.
@@ -108,6 +115,7 @@
             most,
             large_most,
             lingering: Cell::new(0),
+            asked: Cell::new(0),
             peers: RefCell::default(),
             numbers: Cell::new(0),
             large: Rc::default(),
@@ -170,7 +178,7 @@
                 }
                 Some(Err(_)) => {
                     // No descriptor left, most likely: make room, and go on.
-                    self.evict();
+                    self.evict(|_| true);
                     Timer::after(ACCEPT_PAUSE).await;
                 }
             }
@@ -179,7 +187,7 @@
 
     fn admit(self: &Rc<Self>, stream: Async<TcpStream>, address: SocketAddr) {
         let (number, since) = (self.number(), Instant::now());
-        let full = self.open() >= self.most && !self.evict();
+        let full = self.open() >= self.most && !self.evict(|_| true);
         let peer = Rc::new(Peer::default());
         self.peers.borrow_mut().insert(number, Rc::clone(&peer));
         let clients = Rc::clone(self);
@@ -196,6 +204,7 @@
                 clients.serve(&mut connection, &peer).await.unwrap_or_else(|reason| reason)
             };
             clients.peers.borrow_mut().remove(&number);
+            clients.asked.set(clients.asked.get() - usize::from(peer.asked.get()));
             let requests = connection.requests;
             (clients.ends)(&Ended { side: "client", peer: address, name: "", reason, requests, since });
         };
@@ -207,17 +216,18 @@
         self.numbers.replace(self.numbers.get() + 1)
     }
 
-    /// Asks a connection without an open request to close: one that has long asked nothing, else the one
-    /// that stood idle longest, else one that has only just come.
-    fn evict(&self) -> bool {
+    /// Asks a connection without an open request to close: one that has asked nothing yet, else the one that
+    /// stood idle longest. One that asked lately is likely to ask again, so the newest mute ones go before it.
+    fn evict(&self, which: impl Fn(&Peer) -> bool) -> bool {
         let peers = self.peers.borrow();
         let now = Instant::now();
-        let rank = |p: &Peer, since: Instant| match (p.asked.get(), now - since >= MUTE) {
-            (false, true) => 0,
-            (true, _) => 1,
-            (false, false) => 2,
+        let rank = |p: &Peer, since: Instant| match (p.asked.get(), now - since) {
+            (false, age) if age >= MUTE => 0,
+            (true, age) if age >= REST => 1,
+            (false, _) => 2,
+            (true, _) => 3,
         };
-        let idle = peers.values().filter(|p| !p.evicted.get());
+        let idle = peers.values().filter(|p| !p.evicted.get() && which(p));
         let idle = idle.filter_map(|p| p.idle.get().map(|since| (rank(p, since), since, p)));
         let Some((.., peer)) = idle.min_by_key(|(rank, since, _)| (*rank, *since)) else { return false };
         peer.evicted.set(true);
@@ -248,14 +258,19 @@
                     let since = if peer.asked.get() { Instant::now() } else { accepted };
                     peer.idle.set((idle || !peer.asked.get()).then_some(since));
                     let first = (!peer.asked.get()).then_some(accepted + FIRST_WAIT);
-                    let due = begun.map(|at| at + MESSAGE_WAIT).into_iter().chain(first).min();
+                    let stays = (idle && peer.asked.get()).then(|| Instant::now() + IDLE_MOST);
+                    let due = begun.map(|at| at + MESSAGE_WAIT).into_iter().chain(first).chain(stays).min();
                     let read = self.read_on(c, peer, idle);
                     let read = match due {
                         Some(due) => within(due, read).await,
                         None => Some(read.await),
                     };
                     peer.idle.set(None);
-                    match read.unwrap_or(Err(if started { "request_timeout" } else { "startup_timeout" })) {
+                    match read.unwrap_or(Err(match (started, stays) {
+                        (false, _) => "startup_timeout",
+                        (true, None) => "request_timeout",
+                        (true, Some(_)) => "idle_timeout",
+                    })) {
                         Err(reason) => {
                             if let Some(violation) = violation(reason) {
                                 self.fatal(c, violation).await;
@@ -287,7 +302,13 @@
                 }
             };
             begun = None;
-            peer.asked.set(true);
+            if !peer.asked.replace(true) {
+                self.asked.set(self.asked.get() + 1);
+                // Clients share a bound number of connections: past this many the one idle longest gives way.
+                if self.asked.get() > self.most * 2 / 5 {
+                    self.evict(|p| p.asked.get());
+                }
+            }
             match asked {
                 None => {
                     if !self.until_ready().await {
