--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -28,8 +28,8 @@
 /// µs in which a latency not measured anew drifts back to the usual one: the member is tried again.
 const FORGET: f64 = 8e6;
 /// Doubt is own work that a silent member has not answered, in usual times; a full member adds `WARY`, a
-/// connection that was not to be had `REFUSED`, one that broke `BROKEN`: single ones break at members that work,
-/// while a dead one refuses the next. From `WARY` on no writes, from `SUSPECT` on trials only.
+/// connection that was not to be had `REFUSED`, one that broke `BROKEN`: single ones break at members that
+/// work, while a dead one refuses the next. From `WARY` on no writes, from `SUSPECT` on trials only.
 const REFUSED: f64 = 2.0;
 const BROKEN: f64 = 0.5;
 const WARY: f64 = 3.0;
@@ -144,7 +144,7 @@
 
 struct Suspicion {
     since: Micros,
-    /// Whether connections gave rise to it, not silence: a position that moves on is no answer to a silent one.
+    /// Whether connections gave rise to it, not silence, which a position that moves on does not end.
     broken: bool,
     tried_at: Micros,
     trial_at: Micros,
@@ -869,8 +869,8 @@
             m.queue = probed.queue.unwrap_or(0.0);
             let at = probed.position.unwrap_or(now - LIST_AGE).min(now);
             m.role(probed.role, at);
-            // A hung one's position stands still: a primary that moved on since the suspicion works, and so does
-            // a replica that only failed connections spoke against.
+            // A hung one's position stands still: a primary that moved on since the suspicion works, and so
+            // does a replica that only failed connections spoke against.
             let led = probed.role == Some(Role::Primary);
             if m.suspicion.as_ref().is_some_and(|s| at > s.since && (led || s.broken)) {
                 m.suspicion = None;
