Count what clients and members buffer with one piece of code

Both drivers kept the same account of bytes past a modest size (a share, a sum, a limit, the giving back at the end). It is transport::Memory and Part now.

--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::transport::clients::Clients;
 use crate::transport::discovery::Watch;
-use crate::transport::{members, signals, Ended, Ends};
+use crate::transport::{members, signals, Ended, Ends, Memory};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use clock::Clock;
@@ -49,8 +49,7 @@
         most: sockets - to_clients,
         most_each: ((sockets - to_clients) / 4).max(1),
         open: Cell::new(0),
-        large: Cell::new(0),
-        large_most: config.memory / LARGE_PART,
+        memory: Memory::new(config.memory / LARGE_PART),
         check_after: Cell::new(members::CHECK_AFTER),
     });
     let clients = Clients::new(
@@ -58,7 +57,7 @@
         events.clone(),
         Rc::clone(&ends),
         to_clients,
-        config.memory / LARGE_PART,
+        Memory::new(config.memory / LARGE_PART),
     );
     let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, config.discovery);
     let broker =
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -1,7 +1,6 @@
 //! The listener and the connections of clients.
 
-use super::{within, Answer, Asked, Ended, Ends, Event, Statement, Ticket};
-use crate::protocol::buffer::MODEST;
+use super::{within, Answer, Asked, Ended, Ends, Event, Memory, Part, Statement, Ticket};
 use crate::protocol::comment;
 use crate::protocol::server::{Command, Server, Violation};
 use async_channel::{bounded, Sender};
@@ -41,17 +40,15 @@
     events: Sender<Event>,
     ends: Ends,
     most: usize,
-    /// What all connections together may buffer past a modest size each. A message that does not fit ends its
-    /// connection: it is not whole, so nothing that was taken is lost.
-    large_most: usize,
+    /// A message that does not fit into it ends its connection: it is not whole, so nothing that was taken is
+    /// lost.
+    memory: Rc<Memory>,
     /// Connections that wait for their last error to arrive. They hold descriptors, so their number is bound.
     lingering: Cell<usize>,
     /// Connections that have asked something.
     asked: Cell<usize>,
     peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
-    /// Bytes in buffers past a modest size.
-    large: Rc<Cell<usize>>,
     /// Whether queries can be served: until then an empty query waits.
     ready: Cell<bool>,
     leaving: Cell<Leaving>,
@@ -85,16 +82,7 @@
     stream: Async<TcpStream>,
     server: Server,
     requests: u64,
-    /// What it has of the bytes that all connections share.
-    large: usize,
-    large_most: usize,
-    shared: Rc<Cell<usize>>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.shared.set(self.shared.get() - self.large);
-    }
+    memory: Part,
 }
 
 type Reason = &'static str;
@@ -106,19 +94,18 @@
         events: Sender<Event>,
         ends: Ends,
         most: usize,
-        large_most: usize,
+        memory: Rc<Memory>,
     ) -> Rc<Self> {
         Rc::new(Clients {
             executor,
             events,
             ends,
             most,
-            large_most,
+            memory,
             lingering: Cell::new(0),
             asked: Cell::new(0),
             peers: RefCell::default(),
             numbers: Cell::new(0),
-            large: Rc::default(),
             ready: Cell::new(false),
             leaving: Cell::new(Leaving::No),
             bell: Bell::new(),
@@ -192,9 +179,8 @@
         self.peers.borrow_mut().insert(number, Rc::clone(&peer));
         let clients = Rc::clone(self);
         let task = async move {
-            let shared = Rc::clone(&clients.large);
-            let (server, large_most) = (Server::default(), clients.large_most);
-            let mut connection = Connection { stream, server, requests: 0, large: 0, large_most, shared };
+            let (server, memory) = (Server::default(), Part::of(&clients.memory));
+            let mut connection = Connection { stream, server, requests: 0, memory };
             let reason = if full {
                 clients
                     .fatal(&mut connection, Violation { code: "53300", what: "too many connections" })
@@ -444,10 +430,7 @@
     /// Reads what has come. While a message grows (`bound`) it may be more than all may buffer.
     async fn read(&mut self, bound: bool) -> Result<usize, Reason> {
         self.server.buffer.space();
-        let large = self.server.buffer.capacity().saturating_sub(MODEST);
-        self.shared.set(self.shared.get() - self.large + large);
-        self.large = large;
-        if bound && large > 0 && self.shared.get() > self.large_most {
+        if !self.memory.hold(self.server.buffer.capacity()) && bound {
             return Err("out_of_memory");
         }
         let count = self.stream.read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -3,8 +3,7 @@
 //! A connection carries one query at a time. An attempt takes an idle one or waits for one; openers
 //! run apart from the attempts and keep a few spare, so that a send seldom waits for a handshake.
 
-use super::{within, Ended, Ends, Statement};
-use crate::protocol::buffer::MODEST;
+use super::{within, Ended, Ends, Memory, Part, Statement};
 use crate::protocol::client::{self, Answer, Broken, Client, Verdict};
 use crate::routing::Ending;
 use async_channel::{bounded, Sender};
@@ -79,10 +78,8 @@
     pub most_each: usize,
     /// Connections to all members that are up or coming up.
     pub open: Cell<usize>,
-    /// What all connections together buffer past a modest size each.
-    pub large: Cell<usize>,
-    /// The most that it may be.
-    pub large_most: usize,
+    /// What the answers of all members may fill.
+    pub memory: Rc<Memory>,
     /// See [`CHECK_AFTER`].
     pub check_after: Cell<Duration>,
 }
@@ -125,15 +122,13 @@
     since: Instant,
     used: Instant,
     requests: u64,
-    /// What it has of the bytes that all connections share.
-    large: usize,
+    memory: Part,
     /// Why it ends, should it end now.
     reason: &'static str,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.hold(0);
         self.member.open.set(self.member.open.get() - 1);
         self.member.shared.open.set(self.member.shared.open.get() - 1);
         (self.member.shared.ends)(&Ended {
@@ -148,14 +143,6 @@
 }
 
 impl Connection {
-    /// Counts the memory of its buffer; false when all connections together have too much.
-    fn hold(&mut self, large: usize) -> bool {
-        let shared = &self.member.shared;
-        shared.large.set(shared.large.get() - self.large + large);
-        self.large = large;
-        large == 0 || shared.large.get() <= shared.large_most
-    }
-
     fn end(mut self, reason: &'static str) {
         self.reason = reason;
     }
@@ -197,7 +184,7 @@
             }
             let begun = self.client.begun();
             self.client.buffer.space();
-            if !self.hold(self.client.buffer.capacity().saturating_sub(MODEST)) {
+            if !self.memory.hold(self.client.buffer.capacity()) {
                 return Err(MALFORMED);
             }
             let read = self.stream.read(self.client.buffer.space());
@@ -363,8 +350,8 @@
         }
         self.open.set(self.open.get() + 1);
         let (member, now) = (Rc::clone(self), Instant::now());
-        let (since, used, requests, large) = (now, now, 0, 0);
-        Ok(Connection { stream, client, peer, member, since, used, requests, large, reason: IDLE })
+        let (since, used, requests, memory) = (now, now, 0, Part::of(&self.shared.memory));
+        Ok(Connection { stream, client, peer, member, since, used, requests, memory, reason: IDLE })
     }
 
     fn put(self: &Rc<Self>, mut connection: Connection) {
@@ -542,7 +529,7 @@
         };
         if connection.reason == IN_USE {
             connection.client.buffer.release();
-            connection.hold(0);
+            connection.memory.hold(0);
             self.rest(connection);
         }
         Report { ending, answer: Some(answer) }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,11 +6,13 @@
 pub mod members;
 pub mod signals;
 
+use crate::protocol::buffer::MODEST;
 use crate::protocol::catalog::Catalog;
 use crate::protocol::comment;
 use crate::routing::{HostId, RequestId};
 use async_channel::Sender;
 use futures_lite::future;
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -127,6 +129,46 @@
 /// Where ended connections are noted.
 pub type Ends = Rc<dyn Fn(&Ended<'_>)>;
 
+/// What connections may buffer together past a modest size each.
+#[derive(Debug)]
+pub struct Memory {
+    most: usize,
+    used: Cell<usize>,
+}
+
+impl Memory {
+    /// None of it is used yet.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Memory { most, used: Cell::new(0) })
+    }
+}
+
+/// What one connection has of it, given back when the connection ends.
+struct Part {
+    memory: Rc<Memory>,
+    bytes: usize,
+}
+
+impl Part {
+    fn of(memory: &Rc<Memory>) -> Self {
+        Part { memory: Rc::clone(memory), bytes: 0 }
+    }
+
+    /// Counts a buffer of this capacity; false where it is large and all together have too much.
+    fn hold(&mut self, capacity: usize) -> bool {
+        let (used, bytes) = (&self.memory.used, capacity.saturating_sub(MODEST));
+        used.set(used.get() - self.bytes + bytes);
+        self.bytes = bytes;
+        bytes == 0 || used.get() <= self.memory.most
+    }
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        self.hold(0);
+    }
+}
+
 /// The result of `work`, or `None` if it is not done by `deadline`.
 async fn within<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let late = async {
