Replace a silent watch on discovery before its drains count as told

The watch now asks for a wait of 2 s and gives connection and answer 0.5 s each; the sum of the terms stands beside the constants. After a silence the whole list is asked for, which the agent answers at once, so that a second silence shows at once as well.

Dropped as an explanation: slow handling of a list that had arrived, since the first sends followed the end of the silence and not the list.

--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -11,9 +11,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a watch asks discovery to wait, and how long an answer may take beyond that.
-const WAIT_MS: u64 = 10_000;
-const GRACE: Duration = Duration::from_millis(1500);
+/// How long a watch asks discovery to wait, and how long a connection or an answer may take beyond that. The agent is
+/// on this machine and answers at once, so past that the call has fallen silent with its connection open.
+///
+/// What discovery has to tell counts as told 6 s later at the latest, and sends to a member that drains must end 1 s
+/// after that. In that time a silent watch is noticed (2 s + 0.5 s) and two further connections are tried (0.5 s to
+/// come up, 0.5 s for the answer and 0.02 s or 0.04 s of pause each): 2.5 + 1.02 + 1.04 = 4.56 s of 7 s.
+const WAIT_MS: u64 = 2_000;
+const GRACE: Duration = Duration::from_millis(500);
 /// Pauses before a new connection: the watch must go on within 200 ms wherever it can.
 const PAUSE_FIRST: Duration = Duration::from_millis(20);
 const PAUSE_MOST: Duration = Duration::from_millis(1000);
@@ -116,8 +121,12 @@
         let deadline = Instant::now() + wait + GRACE;
         let answer = within(deadline, call(&mut stream, &mut reader, &target, &host)).await;
         let answer = match answer {
-            // What a silent agent holds back is asked for anew; serving goes on from what is known.
-            None => return "timeout",
+            // Serving goes on from what is known. What the silent call held back is asked for as the whole list:
+            // that is answered at once, so that a second silence shows at once too.
+            None => {
+                *seq = None;
+                return "timeout";
+            }
             Some(Err(reason)) => return reason,
             Some(Ok(answer)) => answer,
         };
