Ask a connection's queries at once; decide membership in a module of its own

And what an answer of discovery is worth was decided nowhere: each one that could be read was believed.

Queries sent ahead now have a place each in protocol::pipeline, are asked at once with a clock of their own that starts at their last byte, and are answered from the front; places, statements and waiting rows are bounded. The connection's life moved to transport::client, the table of connections stays in transport::clients.

membership::Desk decides which answer to believe, when to call again and when to call a second time beside a call that hangs, and until when a member in doubt may be sent something; Member checks that just before a first byte, for attempts, probes and checks of idle connections. The times of calls follow from Rules.StopSendingWithinUs.

--- /dev/null
+++ b/src/membership/pace.rs
@@ -0,0 +1,56 @@
+//! The times of calls to discovery.
+
+use crate::routing::Micros;
+
+/// What discovery has to tell counts as told to a proxy after this time at the latest, whether it arrived or not
+/// (the platform's protocol, 'Figures').
+pub const TOLD_BY: Micros = 6_000_000;
+
+/// How long calls may take. All spans are microseconds.
+///
+/// A call may fall silent with its connection open, and what it held back counts as told after [`TOLD_BY`]; sends to
+/// a member that drains must end [`Pace::stop_within`] later. With a fourteenth of both together as the unit, a silent
+/// watch ends 5 units after it began (4 of wait and 1 of grace), and two further calls fit in with 2 units each (1 to
+/// connect, 1 to answer) and the pauses before them: 9 units and 60 ms of 14. On the platform the unit is 0.5 s.
+/// A second call that starts beside the first half a unit after its wait makes that 4.5 units in most cases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Sends to a member must end this long after it was told to drain or to be gone.
+    pub stop_within: Micros,
+    /// How long a watch asks discovery to wait.
+    pub wait: Micros,
+    /// How long a connection may take to come up.
+    pub connect: Micros,
+    /// How long an answer may take beyond the wait asked for.
+    pub answer: Micros,
+    /// After this much of the answer's time a second call is made beside the first.
+    pub beside: Micros,
+}
+
+impl Pace {
+    /// The pause between two calls, however they end: an agent that answers a watch at once must not be asked
+    /// without end. A watch goes on if the next call comes within 200 ms.
+    pub const APART: Micros = 20_000;
+    /// The longest pause after answers that come at once and say nothing: still inside those 200 ms.
+    pub const IDLE_APART: Micros = 150_000;
+    /// The longest pause after calls that failed.
+    pub const FAILED_APART: Micros = 1_000_000;
+
+    /// The times for a rule that sends end `stop_within` after a drain is told (0 to 1 h; more counts as 1 h).
+    pub fn new(stop_within: Micros) -> Self {
+        let stop_within = stop_within.clamp(0, 3_600_000_000);
+        let unit = (TOLD_BY + stop_within.min(TOLD_BY)) / 14;
+        Pace { stop_within, wait: unit * 4, connect: unit, answer: unit, beside: unit / 2 }
+    }
+
+    /// The longest time from the start of a watch that falls silent to the answer of the second call after it.
+    pub fn worst(&self) -> Micros {
+        let again = self.connect + self.answer;
+        self.wait + self.answer + Self::APART + again + 2 * Self::APART + again
+    }
+
+    /// Up to what age a list may still be without anything having counted as told in vain.
+    pub fn old_after(&self) -> Micros {
+        TOLD_BY + self.stop_within
+    }
+}
--- a/src/program/broker.rs
+++ b/src/program/broker.rs
@@ -4,18 +4,21 @@
 use super::clock::Clock;
 use super::config::{Config, SEND_MARGIN};
 use super::log::Log;
+use crate::membership::{Age, News};
 use crate::protocol::catalog::{Catalog, Health, Host};
 use crate::protocol::client;
 use crate::protocol::comment::ID_MOST;
+use crate::protocol::pipeline::{Answer, Ticket};
 use crate::routing::settings::Terms;
 use crate::routing::{
     self, Action, AttemptNo, ClassId, Ending, Entry, GroupId, HostId, Listed, Micros, Outcome, Probed,
     Request, RequestId, Role, Router, SessionKey,
 };
+use crate::transport::client::Lane;
 use crate::transport::clients::Clients;
 use crate::transport::discovery::Watch;
 use crate::transport::members::{Member, Report, Shared, Stage};
-use crate::transport::{Answer, Asked, Event, Statement, Ticket};
+use crate::transport::{Asked, Event, Statement};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_io::Timer;
@@ -53,7 +56,7 @@
     /// The id that the client gave it.
     name: String,
     statement: Rc<Statement>,
-    answer: Sender<Answer>,
+    lane: Rc<Lane>,
     attempts: u32,
 }
 
@@ -221,10 +224,7 @@
             }
             Event::Attempt { id, attempt, report } => self.attempt_ended(id, attempt, report),
             Event::Probed { host, report } => self.probed(host, report),
-            Event::List(catalog) => {
-                self.told = true;
-                self.list(catalog);
-            }
+            Event::Heard(news, age) => self.heard(news, age),
             Event::Reload => match Config::anew() {
                 Ok(config) => {
                     self.watch.move_to(config.discovery);
@@ -267,12 +267,12 @@
 
     fn asked(&mut self, asked: Asked) {
         let Some(class) = self.terms.names.iter().position(|name| *name == asked.class) else {
-            let _ = asked.answer.try_send(Answer::Malformed("the class is not in the settings"));
+            asked.lane.give(asked.ticket, Answer::Malformed("the class is not in the settings"));
             return;
         };
         // Members tell requests apart by their ids: a second one would be taken for a copy of the first.
         if !self.ids.insert(asked.id.clone()) {
-            let _ = asked.answer.try_send(Answer::Malformed("the id is in use by another open request"));
+            asked.lane.give(asked.ticket, Answer::Malformed("the id is in use by another open request"));
             return;
         }
         let now = self.clock.now();
@@ -282,15 +282,21 @@
             class: ClassId(class),
             group: GroupId(asked.group),
             key: asked.key.map(|key| SessionKey(hash(key.as_bytes()))),
-            give_up_at: now + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
+            // Its time runs from its last byte, however long it stood behind others.
+            give_up_at: self.clock.at(asked.arrived)
+                + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
             write_age: asked.after_ms.map(|ms| now - ms.saturating_mul(1000)),
         };
-        let Asked { ticket, statement, answer, id: name, .. } = asked;
+        let Asked { ticket, statement, lane, id: name, .. } = asked;
         self.tickets.insert(ticket, id);
-        self.requests.insert(id, Open { ticket, name, statement, answer, attempts: 0 });
+        self.requests.insert(id, Open { ticket, name, statement, lane, attempts: 0 });
         // The age of the session's write counts from the very time that the router takes the request at:
         // a later one would ask for a position some microseconds past the commit.
         self.tell_at(now, routing::Event::Request(request));
+        // What was taken so late that the rest has been given up already is answered all the same.
+        if self.gave_up {
+            self.tell(routing::Event::Close);
+        }
     }
 
     /// Takes a request out of all tables.
@@ -303,8 +309,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(open) = self.close(id) {
-            // A client that has just left does not take it.
-            let _ = open.answer.try_send(answer);
+            open.lane.give(open.ticket, answer);
         }
     }
 
@@ -419,6 +424,20 @@
         self.tell(routing::Event::Probed(probed));
     }
 
+    fn heard(&mut self, news: News, age: Option<Age>) {
+        self.told |= news.list.is_some();
+        if news.doubt.is_some() || age.is_some() {
+            self.log.list(age.map(Age::name), news.doubt, news.until.len());
+        }
+        for (name, until) in news.until {
+            let member = self.names.get(&name).and_then(|host| self.members.get(host));
+            member.into_iter().for_each(|m| m.until(self.clock.instant(until)));
+        }
+        if let Some(list) = news.list {
+            self.list(list);
+        }
+    }
+
     fn list(&mut self, catalog: Catalog) {
         if catalog.whole {
             let named = |m: &Member| catalog.hosts.iter().any(|h| h.name == m.name());
--- a/src/program/clock.rs
+++ b/src/program/clock.rs
@@ -1,7 +1,7 @@
 //! The one clock: Unix time read once at the start, and monotonic time since.
 
 use crate::routing::Micros;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Turns the system's clocks into [`Micros`] of Unix time that never go back.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +20,16 @@
 
     /// The time now.
     pub fn now(&self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
+        self.at(Instant::now())
+    }
+
+    /// An instant after the start as time.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.unix + instant.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
+    /// The instant of a time; the start for one before it.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at - self.unix).max(0) as u64)
     }
 }
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -1,5 +1,6 @@
 //! The log on standard error: one line at the start, and one for each ended connection.
 
+use crate::membership::Doubt;
 use crate::transport::Ended;
 use std::cell::Cell;
 use std::io::Write;
@@ -44,6 +45,16 @@
         self.line(format!("reload_failed kept=old what={what:?}"));
     }
 
+    /// Notes how old the list of members is, or that an answer of discovery is not believed as it is, and how many
+    /// members it would take out of use.
+    pub fn list(&self, age: Option<&str>, doubt: Option<Doubt>, lacks: usize) {
+        let doubt = doubt.map_or("-", |doubt| match doubt {
+            Doubt::Back => "back",
+            Doubt::Short => "short",
+        });
+        self.line(format!("list age={} doubt={doubt} lacks={lacks}", age.unwrap_or("-")));
+    }
+
     /// Notes an ended connection.
     pub fn ended(&self, e: &Ended<'_>) {
         let name = if e.name.is_empty() { "-" } else { e.name };
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod log;
 
+use crate::membership::{Desk, Pace};
 use crate::transport::clients::Clients;
 use crate::transport::discovery::Watch;
 use crate::transport::{members, signals, Ended, Ends, Memory};
@@ -59,9 +60,11 @@
         to_clients,
         Memory::new(config.memory / LARGE_PART),
     );
-    let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, config.discovery);
-    let broker =
-        broker::Broker::new(&config, Clock::start(), shared, Rc::clone(&clients), events.clone(), watch, log);
+    let clock = Clock::start();
+    let desk = Desk::new(Pace::new(config.terms.stop_within), &config.known, clock.now());
+    let now = Rc::new(move || clock.now());
+    let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, now, desk, config.discovery);
+    let broker = broker::Broker::new(&config, clock, shared, Rc::clone(&clients), events.clone(), watch, log);
 
     executor.spawn(Rc::clone(&clients).listen(listener)).detach();
     async_io::block_on(executor.run(async {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,4 +5,5 @@
 pub mod client;
 pub mod comment;
 pub mod http;
+pub mod pipeline;
 pub mod server;
--- a/src/protocol/server.rs
+++ b/src/protocol/server.rs
@@ -2,6 +2,7 @@
 //! answered with. Simple queries only.
 
 use super::buffer::{frame, message, text, until_zero, Buffer, Malformed};
+use super::pipeline::Answer;
 
 /// The longest startup message and query that are taken: a value of 1 MiB is twice that in hex.
 const STARTUP_MOST: usize = 10_000;
@@ -108,16 +109,25 @@
         self.ready();
     }
 
-    /// Answers with the messages that a member answered with.
-    pub fn serve(&mut self, messages: &[u8]) {
-        self.out.extend_from_slice(messages);
+    /// Writes the final answer to a request. An error of these leaves the connection in use.
+    pub fn answer(&mut self, answer: Answer) {
+        let out = &mut self.out;
+        match answer {
+            Answer::Served(messages) if out.is_empty() => *out = messages,
+            Answer::Served(messages) => out.extend_from_slice(&messages),
+            Answer::Refused(after_ms) => {
+                let detail = (after_ms > 0).then(|| after_ms.to_string());
+                error(out, "ERROR", "53300", "refused: trying again is harmless", detail.as_deref());
+            }
+            Answer::Failed => error(out, "ERROR", "58000", "failed: it may have run", None),
+            Answer::Malformed(what) => error(out, "ERROR", "08P01", what, None),
+        }
         self.ready();
     }
 
-    /// Answers with an error after which the connection goes on.
-    pub fn error(&mut self, code: &str, what: &str, detail: Option<&str>) {
-        error(&mut self.out, "ERROR", code, what, detail);
-        self.ready();
+    /// The length of the command at the front of the buffer, once it is whole.
+    pub fn length(&self) -> Option<usize> {
+        framed(&self.buffer, self.started, if self.started { QUERY_MOST } else { STARTUP_MOST }).ok()?
     }
 
     /// Tells the client why the connection ends.
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -142,6 +142,8 @@
     pub connect_timeout: Micros,
     /// A member closes a connection that stood idle for this span.
     pub keepalive: Micros,
+    /// Sends to a member must end this long after the router was told that it drains or is gone.
+    pub stop_within: Micros,
 }
 
 /// Translates settings as the simulator's first message holds them.
@@ -208,5 +210,6 @@
     let zone = f.text("Az").to_string();
     let connect_timeout = f.or("Allowed.ConnectTimeoutUs", 250_000)?;
     let keepalive = f.or("Allowed.KeepaliveUs", 15_000_000)?;
-    Ok((settings, Terms { names, zone, columns, origin, connect_timeout, keepalive }))
+    let stop_within = f.or("Rules.StopSendingWithinUs", 1_000_000)?;
+    Ok((settings, Terms { names, zone, columns, origin, connect_timeout, keepalive, stop_within }))
 }
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,37 +1,41 @@
-//! The watch on discovery: one call after the other on one connection, made anew when it breaks.
+//! The watch on discovery: carries out the calls that `membership` asks for, on one connection after the other, and
+//! a second one beside a call that may hang.
 
 use super::{within, Ended, Ends, Event};
-use crate::protocol::{catalog, http};
+use crate::membership::{Age, Ask, Call, Desk, News};
+use crate::protocol::catalog::{self, Catalog};
+use crate::protocol::http;
+use crate::routing::Micros;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::cell::Cell;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a watch asks discovery to wait, and how long a connection or an answer may take beyond that. The agent is
-/// on this machine and answers at once, so past that the call has fallen silent with its connection open.
-///
-/// What discovery has to tell counts as told 6 s later at the latest, and sends to a member that drains must end 1 s
-/// after that. In that time a silent watch is noticed (2 s + 0.5 s) and two further connections are tried (0.5 s to
-/// come up, 0.5 s for the answer and 0.02 s or 0.04 s of pause each): 2.5 + 1.02 + 1.04 = 4.56 s of 7 s.
-const WAIT_MS: u64 = 2_000;
-const GRACE: Duration = Duration::from_millis(500);
-/// Pauses before a new connection: the watch must go on within 200 ms wherever it can.
-const PAUSE_FIRST: Duration = Duration::from_millis(20);
-const PAUSE_MOST: Duration = Duration::from_millis(1000);
+/// The caller's clock.
+pub type Now = Rc<dyn Fn() -> Micros>;
 
 /// The watch on one address at a time.
 pub struct Watch {
+    parts: Parts,
+    /// Dropping it closes the connections.
+    _task: Task<()>,
+}
+
+#[derive(Clone)]
+struct Parts {
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     ends: Ends,
+    now: Now,
+    /// Only the task borrows it, and never across a wait.
+    desk: Rc<RefCell<Desk>>,
     address: SocketAddr,
-    /// Dropping it closes the connection.
-    _task: Task<()>,
-    /// The reason for that.
+    /// The reason of connections that are dropped in use.
     dropped: Rc<Cell<&'static str>>,
 }
 
@@ -41,27 +45,38 @@
         executor: Rc<LocalExecutor<'static>>,
         events: Sender<Event>,
         ends: Ends,
+        now: Now,
+        desk: Desk,
         address: SocketAddr,
     ) -> Self {
-        let dropped = Rc::new(Cell::new("shutdown"));
-        let watch = watch(address, events.clone(), Rc::clone(&ends), Rc::clone(&dropped));
-        let _task = executor.spawn(watch);
-        Watch { executor, events, ends, address, _task, dropped }
+        let (desk, dropped) = (Rc::new(RefCell::new(desk)), Rc::new(Cell::new("shutdown")));
+        Self::follow(Parts { executor, events, ends, now, desk, address, dropped })
     }
 
-    /// Follows the list at another address. Its first call asks for the whole list: the old address's
-    /// versions mean nothing there.
+    fn follow(parts: Parts) -> Self {
+        let _task = parts.executor.spawn(parts.clone().watch());
+        Watch { parts, _task }
+    }
+
+    /// Follows the list at another address. Its first call asks for the whole list.
     pub fn move_to(&mut self, address: SocketAddr) {
-        if address != self.address {
-            self.dropped.set("moved");
-            let (executor, events) = (Rc::clone(&self.executor), self.events.clone());
-            // The old task ends with the assignment, whatever it waits for, and so does its connection.
-            *self = Watch::start(executor, events, Rc::clone(&self.ends), address);
+        if address != self.parts.address {
+            self.parts.dropped.set("moved");
+            self.parts.desk.borrow_mut().moved((self.parts.now)());
+            let dropped = Rc::new(Cell::new("shutdown"));
+            // The old task ends with the assignment, whatever it waits for, and so do its connections.
+            *self = Self::follow(Parts { address, dropped, ..self.parts.clone() });
         }
     }
 }
 
 /// A connection to discovery; its line of the log is written when it ends.
+struct Connection {
+    stream: Async<TcpStream>,
+    reader: http::Reader,
+    line: Line,
+}
+
 struct Line {
     ends: Ends,
     peer: SocketAddr,
@@ -79,94 +94,155 @@
     }
 }
 
-/// Follows the list for good and tells of each answer that says something.
-async fn watch(address: SocketAddr, events: Sender<Event>, ends: Ends, dropped: Rc<Cell<&'static str>>) {
-    let mut seq = None;
-    let mut pause = PAUSE_FIRST;
-    loop {
-        let (ends, dropped, since) = (Rc::clone(&ends), Rc::clone(&dropped), Instant::now());
-        let mut line = Line { ends, peer: address, since, calls: 0, reason: None, dropped };
-        line.reason = Some(follow(address, &events, &mut seq, &mut line.calls).await);
-        let calls = line.calls;
-        drop(line);
-        if events.is_closed() {
-            return;
+impl Parts {
+    /// Follows the list for good and tells of each answer that says something.
+    async fn watch(self) {
+        let mut kept = None;
+        let mut age = Age::Unheard;
+        loop {
+            let call = self.desk.borrow_mut().next((self.now)());
+            let pause = Duration::from_micros((call.at - (self.now)()).max(0) as u64);
+            if !pause.is_zero() {
+                Timer::after(pause).await;
+            }
+            let called = self.attended(self.call(kept.take(), &call)).await;
+            let news = match called {
+                Some((list, connection)) => {
+                    kept = connection;
+                    self.desk.borrow_mut().heard((self.now)(), list)
+                }
+                None => {
+                    self.desk.borrow_mut().failed();
+                    News::default()
+                }
+            };
+            let before = std::mem::replace(&mut age, self.desk.borrow().age((self.now)()));
+            let aged = (age != before).then_some(age);
+            if (news != News::default() || aged.is_some()) && !self.tell(news, aged).await {
+                return;
+            }
         }
-        // A connection that worked is replaced at once; one that did not come up waits longer.
-        pause = if calls > 0 { PAUSE_FIRST } else { (pause * 2).min(PAUSE_MOST) };
-        Timer::after(pause).await;
     }
-}
 
-/// Calls on one connection until it is of no more use; says why.
-async fn follow(
-    address: SocketAddr,
-    events: &Sender<Event>,
-    seq: &mut Option<u64>,
-    calls: &mut u64,
-) -> &'static str {
-    let connected = within(Instant::now() + GRACE, Async::<TcpStream>::connect(address)).await;
-    let Some(Ok(mut stream)) = connected else { return "connect_failed" };
-    let _ = stream.get_ref().set_nodelay(true);
-    let host = address.to_string();
-    let mut reader = http::Reader::default();
-    loop {
-        let (target, wait) = match *seq {
-            None => ("/catalog/members".to_string(), Duration::ZERO),
-            Some(seq) => {
-                let target = format!("/catalog/members?index={seq}&wait={WAIT_MS}");
-                (target, Duration::from_millis(WAIT_MS))
+    /// Whether anybody still listens.
+    async fn tell(&self, news: News, age: Option<Age>) -> bool {
+        self.events.send(Event::Heard(news, age)).await.is_ok()
+    }
+
+    /// Does work, and meanwhile tells what lapses.
+    async fn attended<T>(&self, work: impl std::future::Future<Output = T>) -> T {
+        let mut work = pin!(work);
+        loop {
+            let due = self.desk.borrow().due();
+            let Some(due) = due else { return work.await };
+            let pause = Duration::from_micros((due - (self.now)()).max(0) as u64);
+            if let Some(done) = within(Instant::now() + pause, work.as_mut()).await {
+                return done;
             }
-        };
-        let deadline = Instant::now() + wait + GRACE;
-        let answer = within(deadline, call(&mut stream, &mut reader, &target, &host)).await;
-        let answer = match answer {
-            // Serving goes on from what is known. What the silent call held back is asked for as the whole list:
-            // that is answered at once, so that a second silence shows at once too.
-            None => {
-                *seq = None;
-                return "timeout";
+            let news = self.desk.borrow_mut().lapse((self.now)());
+            if news != News::default() {
+                self.tell(news, None).await;
             }
-            Some(Err(reason)) => return reason,
-            Some(Ok(answer)) => answer,
-        };
-        if answer.status != 200 {
-            *seq = None;
-            return "http_status";
         }
-        let Ok(list) = catalog::parse(&answer.body) else {
-            *seq = None;
-            return "malformed_list";
+    }
+
+    /// One call, and a second beside it where the first stays silent. What answers first counts; a failure counts
+    /// once both have failed.
+    async fn call(&self, kept: Option<Connection>, call: &Call) -> Option<(Catalog, Option<Connection>)> {
+        let begun = Instant::now();
+        let span = |micros: Micros| Duration::from_micros(micros.max(0) as u64);
+        let (connect, until) = (span(call.connect), begun + span(call.answer));
+        let done = {
+            let mut first = pin!(self.ask(kept, call.ask, call.wait, connect, until));
+            if let Some(done) = within(begun + span(call.beside), first.as_mut()).await {
+                return done;
+            }
+            let until = Instant::now() + connect + span(call.answer - call.wait);
+            let mut second = pin!(self.ask(None, Ask::Whole, 0, connect, until));
+            let race =
+                future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
+            let (by_first, done) = match race.await {
+                (true, None) => (false, second.await),
+                (false, None) => (true, first.await),
+                done => done,
+            };
+            // The reason of the other one, which is dropped here.
+            self.dropped.set(if by_first { "superseded" } else { "timeout" });
+            done
         };
-        *seq = Some(list.seq);
-        *calls += 1;
-        let news = list.whole || !list.hosts.is_empty();
-        if news && events.send(Event::List(list)).await.is_err() {
-            return "shutdown";
-        }
-        if !answer.keep {
-            return "server_closed";
+        self.dropped.set("shutdown");
+        done
+    }
+
+    /// Asks on a connection that was kept, or on a new one.
+    async fn ask(
+        &self,
+        kept: Option<Connection>,
+        ask: Ask,
+        wait: Micros,
+        connect: Duration,
+        until: Instant,
+    ) -> Option<(Catalog, Option<Connection>)> {
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => self.connect(Instant::now() + connect).await?,
+        };
+        let target = match ask {
+            Ask::Whole => "/catalog/members".to_string(),
+            Ask::Watch { seq } => format!("/catalog/members?index={seq}&wait={}", wait / 1000),
+        };
+        let host = self.address.to_string();
+        let answer = within(until, connection.exchange(&target, &host)).await;
+        let reason = match answer {
+            None => "timeout",
+            Some(Err(reason)) => reason,
+            Some(Ok(answer)) if answer.status != 200 => "http_status",
+            Some(Ok(answer)) => match catalog::parse(&answer.body) {
+                Err(_) => "malformed_list",
+                Ok(list) => {
+                    connection.line.calls += 1;
+                    if answer.keep {
+                        return Some((list, Some(connection)));
+                    }
+                    connection.line.reason = Some("server_closed");
+                    return Some((list, None));
+                }
+            },
+        };
+        connection.line.reason = Some(reason);
+        None
+    }
+
+    async fn connect(&self, until: Instant) -> Option<Connection> {
+        let (ends, peer, dropped) = (Rc::clone(&self.ends), self.address, Rc::clone(&self.dropped));
+        let mut line = Line { ends, peer, since: Instant::now(), calls: 0, reason: None, dropped };
+        match within(until, Async::<TcpStream>::connect(self.address)).await {
+            Some(Ok(stream)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                Some(Connection { stream, reader: http::Reader::default(), line })
+            }
+            _ => {
+                line.reason = Some("connect_failed");
+                None
+            }
         }
     }
 }
 
-async fn call(
-    stream: &mut Async<TcpStream>,
-    reader: &mut http::Reader,
-    target: &str,
-    host: &str,
-) -> Result<http::Answer, &'static str> {
-    stream.write_all(&http::get(target, host)).await.map_err(|_| "reset")?;
-    let mut ended = false;
-    loop {
-        if let Some(answer) = reader.advance(ended).map_err(|_| "malformed_http")? {
-            return Ok(answer);
-        }
-        if ended {
-            return Err("server_closed");
+impl Connection {
+    async fn exchange(&mut self, target: &str, host: &str) -> Result<http::Answer, &'static str> {
+        self.stream.write_all(&http::get(target, host)).await.map_err(|_| "reset")?;
+        let mut ended = false;
+        loop {
+            if let Some(answer) = self.reader.advance(ended).map_err(|_| "malformed_http")? {
+                return Ok(answer);
+            }
+            if ended {
+                return Err("server_closed");
+            }
+            let count = self.stream.read(self.reader.buffer.space()).await.map_err(|_| "reset")?;
+            self.reader.buffer.filled(count);
+            ended = count == 0;
         }
-        let count = stream.read(reader.buffer.space()).await.map_err(|_| "reset")?;
-        reader.buffer.filled(count);
-        ended = count == 0;
     }
 }
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -104,6 +104,8 @@
     name: String,
     address: Cell<SocketAddr>,
     wanted: Cell<bool>,
+    /// When sends must have ended, where the list takes it out of use but is in doubt.
+    until: Cell<Option<Instant>>,
     idle: RefCell<Vec<Connection>>,
     waiters: RefCell<VecDeque<Sender<Option<Connection>>>>,
     opening: Cell<usize>,
@@ -212,6 +214,7 @@
             name: name.to_string(),
             address: Cell::new(address),
             wanted: Cell::new(false),
+            until: Cell::new(None),
             idle: RefCell::default(),
             waiters: RefCell::default(),
             opening: Cell::new(0),
@@ -232,6 +235,17 @@
         self.wanted.get()
     }
 
+    /// Nothing may be begun from then on, unless a list says otherwise before.
+    pub fn until(&self, until: Instant) {
+        self.until.set(Some(until));
+    }
+
+    /// Whether something may be sent to it now. Asked just before a first byte, which is what drains count from:
+    /// between the decision and there lie a wait for a connection and a check whether it still works.
+    fn open_for_work(&self) -> bool {
+        self.wanted.get() && self.until.get().is_none_or(|until| Instant::now() < until)
+    }
+
     /// Whether a connection to it stands ready.
     pub fn warm(&self) -> bool {
         !self.idle.borrow().is_empty()
@@ -249,6 +263,7 @@
             self.close_idle("moved", |_| true);
         }
         self.wanted.set(wanted);
+        self.until.set(None);
         if wanted {
             self.top_up();
         } else {
@@ -409,6 +424,10 @@
             if idle < self.shared.check_after.get() {
                 return Some(connection);
             }
+            if !self.open_for_work() {
+                connection.end("left");
+                return None;
+            }
             connection.reason = IN_USE;
             match connection.alive().await {
                 Some(true) => return Some(connection),
@@ -468,16 +487,20 @@
         let start = Instant::now();
         let until = holds.map_or(deadline, |span| deadline.min(start + span));
         let connect_by = start + self.shared.connect_timeout;
+        if !self.open_for_work() {
+            return Report::bare(Ending::Moot);
+        }
         let mut connection = match within(until.min(connect_by), self.take()).await {
             Some(Some(connection)) => connection,
+            Some(None) if !self.open_for_work() => return Report::bare(Ending::Moot),
             Some(None) => return Report::bare(Ending::ConnectFailed),
             None if connect_by <= until && self.opening.get() > 0 => {
                 return Report::bare(Ending::ConnectFailed)
             }
             None => return Report::bare(Ending::Moot),
         };
-        // A pause between the decision and here ages the decision too.
-        if Instant::now() >= until {
+        // A pause between the decision and here ages the decision too, and what the list says may have changed.
+        if Instant::now() >= until || !self.open_for_work() {
             self.put(connection);
             return Report::bare(Ending::Moot);
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,16 +1,17 @@
 //! Thin drivers between sockets and the state machines of `protocol`. They decide nothing about
 //! requests: what clients ask and how attempts end goes to the broker as an [`Event`].
 
+pub mod client;
 pub mod clients;
 pub mod discovery;
 pub mod members;
 pub mod signals;
 
+use crate::membership::{Age, News};
 use crate::protocol::buffer::MODEST;
-use crate::protocol::catalog::Catalog;
 use crate::protocol::comment;
+use crate::protocol::pipeline::Ticket;
 use crate::routing::{HostId, RequestId};
-use async_channel::Sender;
 use futures_lite::future;
 use std::cell::Cell;
 use std::future::Future;
@@ -38,10 +39,6 @@
     }
 }
 
-/// Numbers the requests of this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
 /// A request as a client's connection hands it over; whatever the protocol, the broker sees this.
 #[derive(Debug)]
 pub struct Asked {
@@ -51,7 +48,9 @@
     pub id: String,
     /// The name of its class.
     pub class: String,
-    /// Milliseconds that the client waits from now on.
+    /// When its last byte was read.
+    pub arrived: Instant,
+    /// Milliseconds that the client waits from then on.
     pub wait_ms: u32,
     /// Its group.
     pub group: u64,
@@ -62,20 +61,7 @@
     /// What members are sent.
     pub statement: Rc<Statement>,
     /// Takes the one final answer.
-    pub answer: Sender<Answer>,
-}
-
-/// A final answer.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Served: the messages that a member answered with.
-    Served(Vec<u8>),
-    /// Refused: a further try is harmless; milliseconds after which to come back, 0 for no advice.
-    Refused(i64),
-    /// Failed, with no promise about its effect.
-    Failed,
-    /// The request cannot be used; in words.
-    Malformed(&'static str),
+    pub lane: Rc<client::Lane>,
 }
 
 /// What the drivers tell the broker.
@@ -101,8 +87,8 @@
         /// Its report.
         report: Option<String>,
     },
-    /// Discovery told something.
-    List(Catalog),
+    /// What is believed of the members changed, or how old that is.
+    Heard(News, Option<Age>),
     /// The process is asked to read its configuration anew.
     Reload,
     /// The process is asked to end.
@@ -141,6 +127,11 @@
     pub fn new(most: usize) -> Rc<Self> {
         Rc::new(Memory { most, used: Cell::new(0) })
     }
+
+    /// Bytes that are left.
+    pub fn room(&self) -> usize {
+        self.most.saturating_sub(self.used.get())
+    }
 }
 
 /// What one connection has of it, given back when the connection ends.
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -225,6 +225,14 @@
     command
 }
 
+/// `3 * text` stands for the text three times, each with its number in place of `#`.
+fn repeat(text: &str) -> String {
+    let times = text.split_once(" * ").and_then(|(n, text)| Some((n.parse().ok()?, text)));
+    times.map_or(text.to_string(), |(n, text): (usize, _)| {
+        (0..n).map(|i| text.replace('#', &i.to_string())).collect()
+    })
+}
+
 /// Plays one file.
 pub fn play(script: &str) {
     let lines = || script.lines().map(str::trim_end).filter(|l| !l.is_empty() && !l.starts_with('#'));
@@ -260,7 +268,7 @@
     for line in lines() {
         let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
-        let text = fill(text);
+        let text = repeat(&fill(text));
         match (who, verb) {
             ("member" | "attempts" | "sockets", _) => {}
             ("log", _) => program.logs(&fill(rest)),
