--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,24 @@
 CONFIG ?= config.json
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo incident
 
 build:
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 run: build
 	BALANCER_CONFIG=$(CONFIG) target/release/wharfplank
+
+# Stand-in members, discovery, proxies and a mixed load for a while, on loopback; ends by itself.
+demo: build
+	target/release/wharfplank lab demo
+
+# A scripted incident: writes target/incident/report.html and report.json and holds them against the script.
+incident: build
+	target/release/wharfplank lab incident
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,239 @@
+//! An open-loop load: requests are due at times that no answer moves, and their times count from then, so that a
+//! late sender hides nothing.
+
+use crate::fleet::{Micros, CLASSES};
+use crate::stand::now;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use wharfplank_protocol::client::{self, Client, Verdict};
+
+/// Connections to one proxy that are kept for the next request.
+const KEPT: usize = 64;
+/// Requests that may be open at a time; past that the load is held back, and says so.
+const OPEN: usize = 2000;
+
+/// What a client saw of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// A value.
+    Served,
+    /// A refusal: 53300 or 57P03.
+    Refused,
+    /// Any other error.
+    Failed,
+    /// No connection came up.
+    Unreachable,
+    /// The connection ended without an answer.
+    Broken,
+    /// Nothing came in the client's time.
+    Nothing,
+}
+
+/// One request, as its client saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Done {
+    /// The proxy's number.
+    pub proxy: usize,
+    /// The class.
+    pub class: usize,
+    /// When it was due.
+    pub due: Micros,
+    /// When its end was seen.
+    pub at: Micros,
+    /// What came.
+    pub seen: Seen,
+}
+
+/// The load of one run.
+pub struct Load {
+    executor: Rc<LocalExecutor<'static>>,
+    /// Where each proxy listens now; none while it is down.
+    pub proxies: Vec<Cell<Option<SocketAddr>>>,
+    kept: Vec<RefCell<Vec<Connection>>>,
+    /// All requests that ended.
+    pub done: RefCell<Vec<Done>>,
+    open: Cell<usize>,
+    /// Requests that were due while too many were open.
+    pub held_back: Cell<u64>,
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    client: Client,
+}
+
+impl Load {
+    /// A load for so many proxies.
+    pub fn new(executor: &Rc<LocalExecutor<'static>>, proxies: usize) -> Rc<Load> {
+        Rc::new(Load {
+            executor: Rc::clone(executor),
+            proxies: (0..proxies).map(|_| Cell::new(None)).collect(),
+            kept: (0..proxies).map(|_| RefCell::default()).collect(),
+            done: RefCell::default(),
+            open: Cell::new(0),
+            held_back: Cell::new(0),
+        })
+    }
+
+    /// Sends requests at a rate for so many seconds, to groups from 0 on, and waits for their ends. `each` hears the
+    /// share that has been sent.
+    pub async fn run(self: &Rc<Self>, rate: u64, seconds: u64, groups: usize, seed: u64, each: impl Fn(f64)) {
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x10ad);
+        let (start, total) = (now(), rate * seconds);
+        let mut due = start;
+        for number in 0..total {
+            // Poisson arrivals: bursts are part of the load.
+            due += (-(1.0 - rng.random::<f64>()).ln() * 1e6 / rate as f64) as Micros;
+            Timer::after(Duration::from_micros((due - now()).max(0) as u64)).await;
+            let mut draw = rng.random::<f64>();
+            let class = CLASSES.iter().position(|class| {
+                draw -= class.part;
+                draw < 0.0
+            });
+            let class = class.unwrap_or(0);
+            let (proxy, group) = (rng.random_range(0..self.proxies.len()), rng.random_range(0..groups));
+            let wrote = (CLASSES[class].name == "own-edit-read" && rng.random::<f64>() < 0.6)
+                .then(|| due / 1000 - 400);
+            if self.open.get() >= OPEN {
+                self.held_back.set(self.held_back.get() + 1);
+            } else {
+                self.open.set(self.open.get() + 1);
+                let load = Rc::clone(self);
+                let task = async move {
+                    let wait = CLASSES[class].wait;
+                    let limit = Timer::after(Duration::from_micros((due + wait - now()).max(1000) as u64));
+                    let late = async {
+                        limit.await;
+                        Seen::Nothing
+                    };
+                    let text = statement(number, class, group, wrote);
+                    let seen = future::or(async { load.ask(proxy, &text).await }, late).await;
+                    load.done.borrow_mut().push(Done { proxy, class, due, at: now(), seen });
+                    load.open.set(load.open.get() - 1);
+                };
+                self.executor.spawn(task).detach();
+            }
+            if number % 16 == 0 {
+                each(number as f64 / total as f64);
+            }
+        }
+        while self.open.get() > 0 {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        each(1.0);
+    }
+
+    async fn ask(&self, proxy: usize, text: &str) -> Seen {
+        let kept = self.kept[proxy].borrow_mut().pop();
+        let mut again = kept.is_some();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => match self.connect(proxy).await {
+                Some(connection) => connection,
+                None => return Seen::Unreachable,
+            },
+        };
+        loop {
+            let message = client::query(|out| out.extend_from_slice(text.as_bytes()));
+            let written = connection.stream.write_all(&message).await;
+            let answer = match written {
+                Ok(()) => connection.answer().await,
+                Err(_) => None,
+            };
+            match answer {
+                Some(verdict) => {
+                    if self.kept[proxy].borrow().len() < KEPT {
+                        self.kept[proxy].borrow_mut().push(connection);
+                    }
+                    return match verdict {
+                        Verdict::Row => Seen::Served,
+                        Verdict::Full | Verdict::NotReady => Seen::Refused,
+                        _ => Seen::Failed,
+                    };
+                }
+                // A proxy may close between requests: one that crossed the close is sent once more.
+                None if again => {
+                    again = false;
+                    self.kept[proxy].borrow_mut().clear();
+                    match self.connect(proxy).await {
+                        Some(new) => connection = new,
+                        None => return Seen::Unreachable,
+                    }
+                }
+                None => return Seen::Broken,
+            }
+        }
+    }
+
+    async fn connect(&self, proxy: usize) -> Option<Connection> {
+        let stream = Async::<TcpStream>::connect(self.proxies[proxy].get()?).await.ok()?;
+        stream.get_ref().set_nodelay(true).ok()?;
+        let mut connection = Connection { stream, client: Client::default() };
+        connection.stream.write_all(&client::startup("web", "orders")).await.ok()?;
+        connection.answer().await.map(|_| connection)
+    }
+
+    /// Whether a proxy answers an empty query, which it does once it can serve.
+    pub async fn ready(&self, proxy: usize) -> bool {
+        let Some(mut connection) = self.connect(proxy).await else { return false };
+        let asked = connection.stream.write_all(&client::query(|_| {})).await;
+        asked.is_ok() && connection.answer().await == Some(Verdict::Done)
+    }
+
+    /// Forgets connections to a proxy that has ended.
+    pub fn down(&self, proxy: usize) {
+        self.proxies[proxy].set(None);
+        self.kept[proxy].borrow_mut().clear();
+    }
+
+    /// The times of served requests of a class, from when they were due, in µs.
+    pub fn times(&self, class: usize) -> Histogram<u64> {
+        let mut times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that are fixed and good");
+        for done in self.done.borrow().iter().filter(|d| d.class == class && d.seen == Seen::Served) {
+            times.saturating_record((done.at - done.due).max(1) as u64);
+        }
+        times
+    }
+
+    /// How many requests of a class ended so.
+    pub fn count(&self, class: usize, seen: Seen) -> usize {
+        self.done.borrow().iter().filter(|d| d.class == class && d.seen == seen).count()
+    }
+}
+
+impl Connection {
+    async fn answer(&mut self) -> Option<Verdict> {
+        loop {
+            match self.client.advance(false) {
+                Ok(Some(answer)) => return Some(answer.verdict),
+                Ok(None) => {}
+                Err(_) => return None,
+            }
+            match self.stream.read(self.client.buffer.space()).await {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => self.client.buffer.filled(count),
+            }
+        }
+    }
+}
+
+fn statement(number: u64, class: usize, group: usize, wrote: Option<i64>) -> String {
+    let class = &CLASSES[class];
+    let after = wrote.map_or(String::new(), |ms| format!(",after={ms}"));
+    let (name, wait, key) = (class.name, class.wait / 1000, number % 997);
+    let head = format!("/* id={number:x},c={name},d={wait},cluster={group}{after} */");
+    match name {
+        "pay-write" => {
+            format!("{head} INSERT INTO entries (ref, payload) VALUES ('{key:x}', '\\x9f') RETURNING payload")
+        }
+        _ => format!("{head} SELECT payload FROM entries WHERE ref = '{key:x}'"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stand.rs
@@ -0,0 +1,251 @@
+//! The model behind real sockets: members that speak PostgreSQL, and discovery.
+
+use crate::fleet::{Fleet, Micros, Verdict, CLASSES};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use wharfplank_protocol::buffer::{message, text};
+use wharfplank_protocol::comment;
+use wharfplank_protocol::server::{Command, Server};
+
+/// The stand-ins of one run.
+pub struct Stand {
+    executor: Rc<LocalExecutor<'static>>,
+    fleet: RefCell<Fleet>,
+    addresses: RefCell<Vec<SocketAddr>>,
+    /// The version of the list.
+    seq: Cell<u64>,
+}
+
+/// Now.
+pub fn now() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+}
+
+/// A value as a member answers a request with it.
+fn row(out: &mut Vec<u8>, value: &[u8], role: &str, position: i64) {
+    message(out, b'T', |out| {
+        out.extend_from_slice(&1_u16.to_be_bytes());
+        text(out, "payload");
+        out.extend_from_slice(&[0; 6]);
+        out.extend_from_slice(&17_u32.to_be_bytes());
+        out.extend_from_slice(&(-1_i16).to_be_bytes());
+        out.extend_from_slice(&(-1_i32).to_be_bytes());
+        out.extend_from_slice(&1_u16.to_be_bytes());
+    });
+    message(out, b'D', |out| {
+        out.extend_from_slice(&1_u16.to_be_bytes());
+        out.extend_from_slice(&(value.len() as u32).to_be_bytes());
+        out.extend_from_slice(value);
+    });
+    message(out, b'C', |out| text(out, "SELECT 1"));
+    status(out, role, position);
+}
+
+fn status(out: &mut Vec<u8>, role: &str, position: i64) {
+    for (name, value) in [("role", role), ("applied_ms", &position.to_string())] {
+        message(out, b'S', |out| {
+            text(out, name);
+            text(out, value);
+        });
+    }
+    message(out, b'Z', |out| out.push(b'I'));
+}
+
+fn error(out: &mut Vec<u8>, code: &str, role: &str, position: i64) {
+    message(out, b'E', |out| {
+        for (field, value) in [(b'S', "ERROR"), (b'C', code), (b'M', "turned away")] {
+            out.push(field);
+            text(out, value);
+        }
+        out.push(0);
+    });
+    status(out, role, position);
+}
+
+impl Stand {
+    /// Starts the members on ports of their own, and the clock of their model.
+    pub fn start(executor: &Rc<LocalExecutor<'static>>, fleet: Fleet) -> std::io::Result<Rc<Stand>> {
+        let count = fleet.members.len();
+        let (fleet, addresses) = (RefCell::new(fleet), RefCell::default());
+        let stand = Rc::new(Stand { executor: Rc::clone(executor), fleet, addresses, seq: Cell::new(1) });
+        for member in 0..count {
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+            stand.addresses.borrow_mut().push(listener.get_ref().local_addr()?);
+            let at = Rc::clone(&stand);
+            executor.spawn(async move { at.accept(member, listener).await }).detach();
+        }
+        let at = Rc::clone(&stand);
+        executor
+            .spawn(async move {
+                loop {
+                    Timer::after(Duration::from_millis(5)).await;
+                    if at.fleet.borrow_mut().tick(now()) {
+                        at.seq.set(at.seq.get() + 1);
+                    }
+                }
+            })
+            .detach();
+        Ok(stand)
+    }
+
+    async fn accept(self: Rc<Self>, member: usize, listener: Async<TcpListener>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let at = Rc::clone(&self);
+            self.executor
+                .spawn(async move {
+                    let _ = at.talk(member, stream).await;
+                })
+                .detach();
+        }
+    }
+
+    /// Waits while the member is cut off or dead.
+    async fn speaks(&self, member: usize) {
+        while self.fleet.borrow().members[member].silent {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn talk(&self, member: usize, mut stream: Async<TcpStream>) -> std::io::Result<()> {
+        stream.get_ref().set_nodelay(true)?;
+        let mut server = Server::default();
+        loop {
+            enum Ask {
+                Class(usize, i64),
+                Report,
+                Empty,
+            }
+            let ask = match server.advance() {
+                Ok(Some(Command::Started)) => None,
+                Ok(Some(Command::Empty)) => Some(Ask::Empty),
+                Ok(Some(Command::Query("SHOW load"))) => Some(Ask::Report),
+                Ok(Some(Command::Query(query))) => comment::read(query).ok().and_then(|c| {
+                    let class = CLASSES.iter().position(|k| k.name == c.class)?;
+                    Some(Ask::Class(class, i64::from(c.wait_ms)))
+                }),
+                Ok(None) => {
+                    if !server.out.is_empty() {
+                        self.speaks(member).await;
+                        stream.write_all(&std::mem::take(&mut server.out)).await?;
+                    }
+                    match stream.read(server.buffer.space()).await? {
+                        0 => return Ok(()),
+                        count => server.buffer.filled(count),
+                    }
+                    continue;
+                }
+                Ok(Some(Command::Terminate | Command::Cancel)) | Err(_) => return Ok(()),
+            };
+            let role = |fleet: &Fleet| if fleet.members[member].primary { "primary" } else { "replica" };
+            match ask {
+                None => {}
+                Some(Ask::Empty) => server.empty(),
+                Some(Ask::Report) => {
+                    let fleet = self.fleet.borrow();
+                    let report = fleet.report(member);
+                    row(&mut server.out, report.as_bytes(), role(&fleet), fleet.position_ms(member));
+                }
+                Some(Ask::Class(class, wait)) => {
+                    let verdict = self.fleet.borrow_mut().ask(member, class);
+                    if let Verdict::At(at) = verdict {
+                        // Work that was begun goes on when its client leaves.
+                        let pause = Timer::after(Duration::from_micros((at - now()).max(0) as u64));
+                        pause.await;
+                        self.fleet.borrow_mut().done(member, class);
+                        if now() - at > wait * 1000 {
+                            return Ok(());
+                        }
+                    }
+                    let fleet = self.fleet.borrow();
+                    let (role, position) = (role(&fleet), fleet.position_ms(member));
+                    match verdict {
+                        Verdict::At(_) => row(&mut server.out, b"value", role, position),
+                        Verdict::Miss => error(&mut server.out, "25006", role, position),
+                        Verdict::Full => error(&mut server.out, "53300", role, position),
+                    }
+                }
+            }
+        }
+    }
+
+    /// The list of members in discovery's form.
+    pub fn list(&self) -> serde_json::Value {
+        let (fleet, addresses) = (self.fleet.borrow(), self.addresses.borrow());
+        let hosts: Vec<_> = fleet
+            .members
+            .iter()
+            .zip(addresses.iter())
+            .map(|(m, dial)| {
+                json!({"host": m.name, "dial": dial.to_string(), "site": m.zone, "class": "std-4",
+                       "block": m.group, "health": if m.drains { "leaving" } else { "active" }, "share": 1.0,
+                       "born_ms": 0, "role": if m.primary { "primary" } else { "replica" }})
+            })
+            .collect();
+        json!({"seq": self.seq.get(), "whole": true, "hosts": hosts})
+    }
+
+    /// Writes that members have run.
+    pub fn writes(&self) -> u64 {
+        self.fleet.borrow().members.iter().map(|m| m.writes).sum()
+    }
+
+    /// Starts an agent of discovery.
+    pub fn discovery(self: &Rc<Self>) -> std::io::Result<SocketAddr> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
+        let at = Rc::clone(self);
+        self.executor
+            .spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let on = Rc::clone(&at);
+                    at.executor
+                        .spawn(async move {
+                            let _ = on.tell(stream).await;
+                        })
+                        .detach();
+                }
+            })
+            .detach();
+        Ok(address)
+    }
+
+    async fn tell(&self, mut stream: Async<TcpStream>) -> std::io::Result<()> {
+        let mut head = Vec::new();
+        let mut bytes = [0; 1024];
+        loop {
+            while !head.ends_with(b"\r\n\r\n") {
+                match stream.read(&mut bytes).await? {
+                    0 => return Ok(()),
+                    count => head.extend_from_slice(&bytes[..count]),
+                }
+            }
+            let asked = String::from_utf8_lossy(&head).into_owned();
+            head.clear();
+            let number = |name: &str| {
+                let value = asked.split_once(&format!("{name}="))?.1;
+                value.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u64>().ok()
+            };
+            let mut list = self.list();
+            if let Some(index) = number("index") {
+                let end = now() + (number("wait").unwrap_or(0).min(60_000) * 1000) as Micros;
+                while self.seq.get() <= index && now() < end {
+                    Timer::after(Duration::from_millis(20)).await;
+                }
+                list = self.list();
+                if self.seq.get() <= index {
+                    list = json!({"seq": self.seq.get(), "whole": false, "hosts": []});
+                }
+            }
+            let body = list.to_string();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(answer.as_bytes()).await?;
+            future::yield_now().await;
+        }
+    }
+}
--- a/src/membership/desk.rs
+++ b/crates/membership/src/desk.rs
@@ -1,9 +1,9 @@
 //! The list that is believed, and the next call.
 
 use super::pace::Pace;
-use crate::protocol::catalog::{Catalog, Health, Host};
-use crate::routing::Micros;
 use std::collections::BTreeMap;
+use wharfplank_protocol::catalog::{Catalog, Health, Host};
+use wharfplank_routing::Micros;
 
 /// A member's deadline is kept this much early: the check itself takes a moment.
 const EARLY: Micros = 20_000;
@@ -50,6 +50,16 @@
     Short,
 }
 
+impl Doubt {
+    /// Its name in the log and in records.
+    pub fn name(self) -> &'static str {
+        match self {
+            Doubt::Back => "back",
+            Doubt::Short => "short",
+        }
+    }
+}
+
 /// How old the list is: the time since discovery last answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Age {
--- a/src/membership/mod.rs
+++ b/crates/membership/src/lib.rs
@@ -6,8 +6,8 @@
 //! - [`Desk`]: the list that is believed, the doubts about the newest answer, and the next call.
 //!
 //! ```
-//! use wharfplank::membership::{Ask, Desk, Pace};
-//! use wharfplank::protocol::catalog::{parse, Catalog};
+//! use wharfplank_membership::{Ask, Desk, Pace};
+//! use wharfplank_protocol::catalog::{parse, Catalog};
 //!
 //! let mut desk = Desk::new(Pace::new(1_000_000), &Catalog::default(), 0);
 //! assert_eq!(desk.next(0).ask, Ask::Whole);
--- a/src/membership/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -1,6 +1,6 @@
 //! The times of calls to discovery.
 
-use crate::routing::Micros;
+use wharfplank_routing::Micros;
 
 /// What discovery has to tell counts as told to a proxy after this time at the latest, whether it arrived or not
 /// (the platform's protocol, 'Figures').
--- a/src/program/broker.rs
+++ b/crates/program/src/broker.rs
@@ -3,22 +3,8 @@
 
 use super::clock::Clock;
 use super::config::{Config, SEND_MARGIN};
-use super::log::Log;
-use crate::membership::{Age, News};
-use crate::protocol::catalog::{Catalog, Health, Host};
-use crate::protocol::client;
-use crate::protocol::comment::ID_MOST;
-use crate::protocol::pipeline::{Answer, Ticket};
-use crate::routing::settings::Terms;
-use crate::routing::{
-    self, Action, AttemptNo, ClassId, Ending, Entry, GroupId, HostId, Listed, Micros, Outcome, Probed,
-    Request, RequestId, Role, Router, SessionKey,
-};
-use crate::transport::client::Lane;
-use crate::transport::clients::Clients;
-use crate::transport::discovery::Watch;
-use crate::transport::members::{Member, Report, Shared, Stage};
-use crate::transport::{Asked, Event, Statement};
+use super::journal::{Ended, Journal};
+use super::log;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_io::Timer;
@@ -28,6 +14,21 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
+use wharfplank_membership::{Age, Doubt, News};
+use wharfplank_protocol::catalog::{Catalog, Health, Host};
+use wharfplank_protocol::client;
+use wharfplank_protocol::comment::ID_MOST;
+use wharfplank_protocol::pipeline::{Answer, Ticket};
+use wharfplank_routing::settings::Terms;
+use wharfplank_routing::{
+    self as routing, Action, AttemptNo, ClassId, Ending, Entry, GroupId, HostId, Listed, Micros, Outcome,
+    Probed, Request, RequestId, Role, Router, SessionKey,
+};
+use wharfplank_transport::client::Lane;
+use wharfplank_transport::clients::Clients;
+use wharfplank_transport::discovery::Watch;
+use wharfplank_transport::members::{Member, Report, Shared, Stage};
+use wharfplank_transport::{Asked, Event, Statement};
 
 /// The client counts its wait from its own send: answers are due this much earlier here.
 const ANSWER_MARGIN: Micros = 5_000;
@@ -58,6 +59,9 @@
     statement: Rc<Statement>,
     lane: Rc<Lane>,
     attempts: u32,
+    class: ClassId,
+    group: GroupId,
+    arrived: Micros,
 }
 
 struct Flight {
@@ -78,7 +82,7 @@
     clients: Rc<Clients>,
     events: Sender<Event>,
     watch: Watch,
-    log: Rc<Log>,
+    journal: Journal,
     requests: HashMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
     /// The ids of open requests, as clients gave them.
@@ -107,7 +111,7 @@
         clients: Rc<Clients>,
         events: Sender<Event>,
         watch: Watch,
-        log: Rc<Log>,
+        journal: Journal,
     ) -> Self {
         let now = clock.now();
         Broker {
@@ -119,7 +123,7 @@
             clients,
             events,
             watch,
-            log,
+            journal,
             requests: HashMap::new(),
             tickets: HashMap::new(),
             ids: HashSet::new(),
@@ -186,6 +190,9 @@
             self.tend_at = now + TEND;
             self.shared.relax();
             self.members.values().for_each(|m| m.tend());
+            if self.journal.records() {
+                self.router.view().for_each(|view| self.journal.seen(&view));
+            }
         }
         if !self.ready {
             let age = now - self.started;
@@ -228,13 +235,18 @@
             Event::Reload => match Config::anew() {
                 Ok(config) => {
                     self.watch.move_to(config.discovery);
-                    self.log.reloaded(config.discovery);
+                    log::reloaded(config.discovery);
+                    self.journal.reloaded(true);
+                }
+                Err(what) => {
+                    log::kept(&what);
+                    self.journal.reloaded(false);
                 }
-                Err(what) => self.log.kept(&what),
             },
             Event::Terminate => {
                 if self.leaving_at.is_none() {
                     self.leaving_at = Some(self.clock.now());
+                    self.journal.stopping();
                     self.clients.leave();
                 }
             }
@@ -277,19 +289,22 @@
         }
         let now = self.clock.now();
         let id = request_id(asked.ticket, &asked.id);
+        let (group, arrived) = (GroupId(asked.group), self.clock.at(asked.arrived));
         let request = Request {
             id,
             class: ClassId(class),
-            group: GroupId(asked.group),
+            group,
             key: asked.key.map(|key| SessionKey(hash(key.as_bytes()))),
             // Its time runs from its last byte, however long it stood behind others.
-            give_up_at: self.clock.at(asked.arrived)
-                + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
+            give_up_at: arrived + (Micros::from(asked.wait_ms) * 1000 - ANSWER_MARGIN).max(1),
             write_age: asked.after_ms.map(|ms| now - ms.saturating_mul(1000)),
         };
         let Asked { ticket, statement, lane, id: name, .. } = asked;
         self.tickets.insert(ticket, id);
-        self.requests.insert(id, Open { ticket, name, statement, lane, attempts: 0 });
+        self.requests.insert(
+            id,
+            Open { ticket, name, statement, lane, attempts: 0, class: ClassId(class), group, arrived },
+        );
         // The age of the session's write counts from the very time that the router takes the request at:
         // a later one would ask for a position some microseconds past the commit.
         self.tell_at(now, routing::Event::Request(request));
@@ -307,6 +322,15 @@
         Some(open)
     }
 
+    /// Records the end of a request that is still open.
+    fn note_end(&self, id: RequestId, note: impl FnOnce(&Journal, Ended)) {
+        if let Some(open) = self.requests.get(&id).filter(|_| self.journal.records()) {
+            let (class, group, attempts) = (open.class, open.group, open.attempts);
+            let took = self.clock.now() - open.arrived;
+            note(&self.journal, Ended { class, group, member: None, attempts, took });
+        }
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(open) = self.close(id) {
             open.lane.give(open.ticket, answer);
@@ -317,10 +341,14 @@
         for action in actions {
             match action {
                 Action::Send { id, host, timeout, holds_until } => self.send(id, host, timeout, holds_until),
-                Action::Refuse { id, retry_after } => {
+                Action::Refuse { id, retry_after, reason } => {
+                    self.note_end(id, |journal, ended| journal.given_up(ended, true, reason));
                     self.answer(id, Answer::Refused((retry_after + 999) / 1000))
                 }
-                Action::Fail(id) => self.answer(id, Answer::Failed),
+                Action::Fail(id, reason) => {
+                    self.note_end(id, |journal, ended| journal.given_up(ended, false, reason));
+                    self.answer(id, Answer::Failed)
+                }
                 Action::Cancel { id, attempt } => self.end(id, attempt.0, Ending::Cancelled),
                 Action::Probe(host) => self.probe(host),
                 Action::Timer(span) => self.timers.push(Reverse(self.clock.now() + span)),
@@ -370,6 +398,8 @@
         let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
         if report.ending == Ending::Ok {
             if let Some(answer) = &mut report.answer {
+                let member = Some(flight.host);
+                self.note_end(id, |journal, ended| journal.served(Ended { member, ..ended }));
                 self.answer(id, Answer::Served(std::mem::take(&mut answer.messages)));
             }
         }
@@ -421,13 +451,15 @@
                 _ => {}
             }
         }
+        self.journal.probed(host, probed.ok);
         self.tell(routing::Event::Probed(probed));
     }
 
     fn heard(&mut self, news: News, age: Option<Age>) {
         self.told |= news.list.is_some();
         if news.doubt.is_some() || age.is_some() {
-            self.log.list(age.map(Age::name), news.doubt, news.until.len());
+            log::list(age.map(Age::name), news.doubt, news.until.len());
+            self.journal.list(age.map(Age::name), news.doubt.map(Doubt::name));
         }
         for (name, until) in news.until {
             let member = self.names.get(&name).and_then(|host| self.members.get(host));
@@ -443,7 +475,8 @@
             let named = |m: &Member| catalog.hosts.iter().any(|h| h.name == m.name());
             self.members.values().filter(|m| !named(m)).for_each(|m| m.want(false, None));
         }
-        let entries: Vec<Entry> = catalog.hosts.iter().map(|host| self.entry(host)).collect();
+        let seq = catalog.seq;
+        let entries: Vec<Entry> = catalog.hosts.iter().map(|host| self.entry(seq, host)).collect();
         let event = if catalog.whole { routing::Event::List } else { routing::Event::ListChange };
         self.tell(event(entries));
         // What waits for a connection to a member that takes nothing new must not go out.
@@ -463,8 +496,13 @@
         }
     }
 
-    fn entry(&mut self, listed: &Host) -> Entry {
+    fn entry(&mut self, seq: u64, listed: &Host) -> Entry {
+        let known = self.names.contains_key(&listed.name);
         let host = self.host(&listed.name);
+        if !known {
+            self.journal.named(host, listed);
+        }
+        self.journal.listed(seq, host, listed);
         let wanted = listed.health == Health::Active;
         match (self.members.get(&host), listed.dial) {
             (Some(member), dial) => member.want(wanted, dial),
--- a/src/program/clock.rs
+++ b/crates/program/src/clock.rs
@@ -1,7 +1,7 @@
 //! The one clock: Unix time read once at the start, and monotonic time since.
 
-use crate::routing::Micros;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wharfplank_routing::Micros;
 
 /// Turns the system's clocks into [`Micros`] of Unix time that never go back.
 #[derive(Clone, Copy, Debug)]
--- a/src/program/config.rs
+++ b/crates/program/src/config.rs
@@ -1,10 +1,11 @@
 //! What the proxy is told at its start, checked before anything is opened.
 
-use crate::protocol::catalog::{self, Catalog};
-use crate::routing::settings::{translate, Fields, Terms};
-use crate::routing::{Consistency, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
+use wharfplank_protocol::catalog::{self, Catalog};
+use wharfplank_routing::settings::{translate, Fields, Terms};
+use wharfplank_routing::{Consistency, Micros, Settings};
 
 /// A bound counts when the last byte is sent, a little after the decision: reads are decided as if they
 /// had this much less.
@@ -43,8 +44,13 @@
 
     fn from_file(listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
-        let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG {path}: {e}"))?;
-        Self::parse(&text, listen, discovery).map_err(|what| format!("BALANCER_CONFIG {path}: {what}"))
+        Self::read(Path::new(&path), listen, discovery).map_err(|what| format!("BALANCER_CONFIG {what}"))
+    }
+
+    /// Reads a configuration file.
+    pub fn read(path: &Path, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
+        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Self::parse(&text, listen, discovery).map_err(|what| format!("{}: {what}", path.display()))
     }
 
     /// Reads the configuration's text.
--- a/src/program/mod.rs
+++ b/crates/program/src/lib.rs
@@ -3,12 +3,9 @@
 mod broker;
 pub mod clock;
 pub mod config;
-mod log;
+mod journal;
+pub mod log;
 
-use crate::membership::{Desk, Pace};
-use crate::transport::clients::Clients;
-use crate::transport::discovery::Watch;
-use crate::transport::{members, signals, Ended, Ends, Memory};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use clock::Clock;
@@ -17,6 +14,11 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
+use wharfplank_membership::{Desk, Pace};
+use wharfplank_settings::Settings;
+use wharfplank_transport::clients::Clients;
+use wharfplank_transport::discovery::Watch;
+use wharfplank_transport::{members, signals, Ends, Memory};
 
 /// Events that may wait for the broker; past that connections wait.
 const EVENTS: usize = 1024;
@@ -27,18 +29,14 @@
 const LARGE_PART: usize = 8;
 
 /// Serves until the process is asked to end.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, settings: &Settings) -> Result<(), String> {
     let signals = signals::take().map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen);
     let listener = listener.and_then(Async::new).map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let executor = Rc::new(LocalExecutor::new());
     let (events, received) = async_channel::bounded(EVENTS);
-    let log = Rc::new(log::Log::start().map_err(|e| format!("log: {e}"))?);
-    log.started(listener.get_ref().local_addr().unwrap_or(config.listen));
-    let ends: Ends = Rc::new({
-        let log = Rc::clone(&log);
-        move |ended: &Ended<'_>| log.ended(ended)
-    });
+    log::started(listener.get_ref().local_addr().unwrap_or(config.listen));
+    let ends: Ends = Rc::new(log::ended);
 
     let sockets = config.sockets.saturating_sub(RESERVED).max(8);
     let to_clients = sockets * 6 / 10;
@@ -64,7 +62,9 @@
     let desk = Desk::new(Pace::new(config.terms.stop_within), &config.known, clock.now());
     let now = Rc::new(move || clock.now());
     let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, now, desk, config.discovery);
-    let broker = broker::Broker::new(&config, clock, shared, Rc::clone(&clients), events.clone(), watch, log);
+    let journal = journal::Journal::start(settings.records.as_ref(), &config, clock)?;
+    let broker =
+        broker::Broker::new(&config, clock, shared, Rc::clone(&clients), events.clone(), watch, journal);
 
     executor.spawn(Rc::clone(&clients).listen(listener)).detach();
     async_io::block_on(executor.run(async {
--- /dev/null
+++ b/crates/report/src/html.rs
@@ -0,0 +1,104 @@
+//! The report as one HTML file.
+
+use crate::facts::{title, Facts, MemberFacts};
+use crate::plot;
+use minijinja::{context, Environment};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Stale reads that the file lists; the JSON form has more.
+const STALE_MOST: usize = 200;
+
+/// Unix time in µs as a date and a time of day in UTC.
+pub fn utc(at: i64) -> String {
+    let (days, of_day) = (at.div_euclid(86_400_000_000), at.rem_euclid(86_400_000_000) / 1000);
+    // Days since 1970 as a date: Howard Hinnant's 'civil_from_days'.
+    let z = days + 719_468;
+    let era = z.div_euclid(146_097);
+    let day_of_era = z.rem_euclid(146_097);
+    let year_of_era = (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
+    let year = year_of_era + era * 400 + i64::from(month <= 2);
+    let (s, ms) = (of_day / 1000, of_day % 1000);
+    format!("{year}-{month:02}-{day:02} {:02}:{:02}:{:02}.{ms:03}", s / 3600, s / 60 % 60, s % 60)
+}
+
+/// The file's text.
+pub fn render(facts: &Facts) -> Result<String, Box<dyn std::error::Error>> {
+    let second = |at: i64| format!("{:.1}", facts.second(at));
+    let incidents: Vec<_> = facts
+        .incidents
+        .iter()
+        .map(|i| {
+            let groups: Vec<String> = i.groups.iter().map(u64::to_string).collect();
+            context! {
+                title => title(i), from => second(i.from), to => second(i.to), open => i.open, told => &i.told,
+                inferred => &i.inferred, unknown => &i.unknown, strength => i.strength.name(), late => i.late,
+                members => if i.members.is_empty() { "-".to_string() } else { i.members.join(", ") },
+                groups => if groups.is_empty() { "all".to_string() } else { groups.join(", ") },
+                refusals => i.refusals.iter().map(|(r, n)| (r.clone(), *n)).collect::<Vec<_>>(),
+            }
+        })
+        .collect();
+    let classes: Vec<_> = facts
+        .classes
+        .iter()
+        .map(|(name, a)| {
+            let each =
+                |n: f64| if a.all() == 0 { "-".to_string() } else { format!("{:.2}", n / a.all() as f64) };
+            context! {
+                name, served => a.served, late => a.late, refused => a.refused.values().sum::<u64>(),
+                failed => a.failed.values().sum::<u64>(), attempts => each(a.attempts as f64),
+                mean => each(a.took as f64 / 1000.0),
+            }
+        })
+        .collect();
+    let mut reasons = Vec::new();
+    for (class, answers) in &facts.classes {
+        let names: BTreeSet<&String> = answers.refused.keys().chain(answers.failed.keys()).collect();
+        for reason in names {
+            let (refused, failed) =
+                (answers.refused.get(reason).unwrap_or(&0), answers.failed.get(reason).unwrap_or(&0));
+            reasons.push(context! { class, reason, refused, failed });
+        }
+    }
+    let mut by_group: BTreeMap<u64, Vec<&MemberFacts>> = BTreeMap::new();
+    facts.members.iter().for_each(|m| by_group.entry(m.group).or_default().push(m));
+    let mut groups = Vec::new();
+    for (group, members) in by_group {
+        groups.push(context! { group, plot => plot::staleness(facts, &members)? });
+    }
+    let stale: Vec<_> = facts
+        .stale
+        .iter()
+        .take(STALE_MOST)
+        .map(|s| {
+            context! {
+                at => second(s.at), proxy => &s.proxy, class => &s.class, group => s.group, needed => second(s.needed),
+                known => if s.known > 0 { second(s.known) } else { "never heard".to_string() },
+                short => (s.needed - s.known).min(s.needed) / 1000,
+            }
+        })
+        .collect();
+    let gaps: Vec<String> = facts
+        .proxies
+        .iter()
+        .flat_map(|p| p.gaps.iter().map(move |g| (p, g)))
+        .map(|(p, g)| {
+            let count =
+                g.count.map_or("an unknown number of answers".to_string(), |n| format!("{n} records"));
+            format!("{}: {} from {} to {} s; {count} missing.", p.name, g.cause, second(g.from), second(g.to))
+        })
+        .collect();
+    let mut environment = Environment::new();
+    environment.add_template("report.html", include_str!("report.html"))?;
+    let page = environment.get_template("report.html")?.render(context! {
+        facts => context! { summary => &facts.summary, problems => &facts.problems, stale_count => facts.stale_count },
+        start => utc(facts.from), end => utc(facts.to), bin => facts.bin / 1_000_000,
+        timeline => plot::timeline(facts)?, answers => plot::answers(facts)?,
+        incidents, classes, reasons, groups, stale, gaps,
+    })?;
+    Ok(page)
+}
--- a/src/routing/api.rs
+++ b/crates/routing/src/api.rs
@@ -259,6 +259,59 @@
     Close,
 }
 
+/// Why a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// A read that no replica was new enough for, and that the primary did not take.
+    TooStale {
+        /// The position that it needed.
+        needed: Micros,
+        /// The newest position of a replica that was known.
+        known: Micros,
+    },
+    /// The group has no primary that can be used.
+    NoPrimary,
+    /// The group has no members.
+    NoMember,
+    /// Shed, since answers come late.
+    Shed,
+    /// No member has seen it by a part of its client's wait.
+    HeldTooLong,
+    /// Its time is over, or the rest of it too short.
+    OutOfTime,
+    /// All attempts are spent.
+    AttemptsSpent,
+    /// An attempt may have run and must not be repeated.
+    MayHaveRun,
+    /// The process ends.
+    Closing,
+    /// Its class is unknown.
+    Unusable,
+}
+
+/// A member as the router sees it, for records.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// The member.
+    pub host: HostId,
+    /// Its group.
+    pub group: GroupId,
+    /// Whether it is taken for the primary.
+    pub primary: bool,
+    /// Whether the list has it take work.
+    pub active: bool,
+    /// The newest position known, and when it was heard; 0 where none was.
+    pub position: Micros,
+    /// When it was heard.
+    pub heard: Micros,
+    /// Since when it is suspected.
+    pub suspected: Option<Micros>,
+    /// Own requests in flight there.
+    pub in_flight: usize,
+    /// The mean time of its answers, in usual times.
+    pub slowness: f64,
+}
+
 /// Something that a router does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -279,9 +332,11 @@
         id: RequestId,
         /// When to come back; 0: no advice.
         retry_after: Micros,
+        /// Why.
+        reason: Reason,
     },
     /// Final answer: nothing is promised.
-    Fail(RequestId),
+    Fail(RequestId, Reason),
     /// Stop waiting for an attempt.
     Cancel {
         /// The request.
--- a/src/routing/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -1,5 +1,5 @@
 //! Every decision of the router, with its tables, its tuned values and the state behind them.
-//! The interface (settings, events, actions, ids) is in `src/routing/api.rs`.
+//! The interface (settings, events, actions, ids) is in `crates/routing/src/api.rs`.
 //!
 //! Reads go to the closest replica whose cached position is new enough; on a miss one shared probe
 //! asks for that position, and a read still short goes to the primary, as do writes and fresh reads.
@@ -340,9 +340,13 @@
             Event::Probed(probed) => self.probed(&probed),
             Event::Timer => self.sweep(),
             Event::Gone(id) => drop(self.finish(id)),
-            Event::Close => {
-                self.pending.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id))
-            }
+            Event::Close => self
+                .pending
+                .keys()
+                .copied()
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|id| self.give_up(id, Reason::Closing)),
         }
         if self.due.is_none() && !self.pending.is_empty() {
             let held = self.groups.values().any(|g| !g.held.is_empty());
@@ -404,7 +408,11 @@
 
     fn request(&mut self, request: &Request) {
         if request.class.0 >= self.usual.len() {
-            return self.out.push(Action::Refuse { id: request.id, retry_after: 0 });
+            return self.out.push(Action::Refuse {
+                id: request.id,
+                retry_after: 0,
+                reason: Reason::Unusable,
+            });
         }
         let density = self.settings.classes[request.class.0].worth / self.usual[request.class.0];
         let weight = if self.density == 0.0 { 1.0 } else { DENSITY_WEIGHT };
@@ -441,13 +449,15 @@
         // One that no member has seen is told early, while coming back is still worth the client's time.
         let waited = (self.now - p.arrived) as f64 / (p.give_up_at - p.arrived).max(1) as f64;
         let unseen = !p.reached && waited > HELD_MOST;
-        if left < self.usual[p.class.0] || p.attempts >= self.settings.max_attempts || unseen {
-            return self.give_up(id);
+        let spent = p.attempts >= self.settings.max_attempts;
+        if left < self.usual[p.class.0] || spent || unseen {
+            let late = if spent { Reason::AttemptsSpent } else { Reason::OutOfTime };
+            return self.give_up(id, if unseen { Reason::HeldTooLong } else { late });
         }
         let (group, consistency) = (p.group, class.consistency);
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
         if !self.admitted(id, p, bound, 1.0) {
-            return self.give_up(id);
+            return self.give_up(id, Reason::Shed);
         }
         let sent = match consistency {
             Consistency::Write => self.write(id, group),
@@ -457,7 +467,7 @@
         match self.groups.get_mut(&group) {
             Some(g) if sent => drop(g.held.remove(&id)),
             Some(g) => drop(g.held.insert(id)),
-            None => self.give_up(id),
+            None => self.give_up(id, Reason::NoMember),
         }
     }
 
@@ -730,16 +740,44 @@
         (m.budget + rate * (now - m.budget_at).max(0) as f64).min(most)
     }
 
-    fn give_up(&mut self, id: RequestId) {
+    /// What a request that never reached a member lacked.
+    fn lack(&self, p: &Pending) -> Option<Reason> {
+        let (g, leader, minimum) = (self.groups.get(&p.group)?, self.leader(p.group), self.minimum(p)?);
+        if matches!(self.settings.classes[p.class.0].consistency, Consistency::Write | Consistency::Fresh) {
+            return leader.is_none_or(|h| !self.members[&h].usable()).then_some(Reason::NoPrimary);
+        }
+        let others = g.members.iter().filter(|h| Some(**h) != leader).map(|h| &self.members[h]);
+        let known = others.filter(|m| m.listed == Listed::Up).map(|m| m.position).max().unwrap_or(0);
+        (known < minimum).then_some(Reason::TooStale { needed: minimum, known })
+    }
+
+    /// The members as they are seen now.
+    pub fn view(&self) -> impl Iterator<Item = View> + '_ {
+        self.members.iter().map(|(host, m)| View {
+            host: *host,
+            group: m.group,
+            primary: self.leader(m.group) == Some(*host),
+            active: m.listed == Listed::Up,
+            position: m.position,
+            heard: m.seen_at,
+            suspected: m.suspicion.as_ref().map(|s| s.since),
+            in_flight: m.flights.len(),
+            slowness: m.slowness,
+        })
+    }
+
+    fn give_up(&mut self, id: RequestId, reason: Reason) {
         let Some(p) = self.finish(id) else { return };
+        let waited = !p.reached && matches!(reason, Reason::HeldTooLong | Reason::OutOfTime);
+        let reason = self.lack(&p).filter(|_| waited).unwrap_or(reason);
         let effect = self.settings.classes[p.class.0].effect;
         let safe = matches!(effect, Effect::Safe | Effect::Keyed { everywhere: true, .. });
         // An attempt that is still out may run: at the process's end there can be one.
         let harmless = safe || (p.ran_at.is_none() && p.flying.is_none());
         self.out.push(if harmless {
-            Action::Refuse { id, retry_after: RETRY_AFTER.min(self.settings.max_retry_after) }
+            Action::Refuse { id, retry_after: RETRY_AFTER.min(self.settings.max_retry_after), reason }
         } else {
-            Action::Fail(id)
+            Action::Fail(id, reason)
         });
     }
 
@@ -838,7 +876,7 @@
                 p.ran_at.get_or_insert(flight.sent);
             }
             match self.settings.classes[p.class.0].effect {
-                Effect::Unsafe if !never_ran => self.give_up(o.id),
+                Effect::Unsafe if !never_ran => self.give_up(o.id, Reason::MayHaveRun),
                 _ => self.dispatch(o.id),
             }
         }
--- a/src/routing/mod.rs
+++ b/crates/routing/src/lib.rs
@@ -3,7 +3,7 @@
 //! the primary. It does no I/O: events go in, actions come out, and the caller keeps the clock.
 //!
 //! ```
-//! use wharfplank::routing::{
+//! use wharfplank_routing::{
 //!     Action, Class, ClassId, Consistency, Effect, Entry, Event, GroupId, HostId, Listed, Request,
 //!     RequestId, Router, Settings, WhenBehind,
 //! };
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,152 @@
+//! The program's own settings: one XML file, checked against `deploy/settings.xsd` and then read into [`Settings`].
+//!
+//! The schema is part of the program: what it allows is what the check allows, so that the two cannot differ. All
+//! faults of a file are found in one go, each with its line, its element and what is allowed there.
+
+mod schema;
+mod tree;
+
+use serde::Deserialize;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// The schema's text.
+pub const SCHEMA: &str = include_str!("../../../deploy/settings.xsd");
+
+/// The settings. What is absent is off.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename = "wharfplank", deny_unknown_fields)]
+pub struct Settings {
+    /// The log.
+    #[serde(default)]
+    pub log: Log,
+    /// The records.
+    pub records: Option<Records>,
+}
+
+/// The log on standard error.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// How a line looks.
+    #[serde(default, rename = "@format")]
+    pub format: Format,
+    /// The least grave events that are written.
+    #[serde(default, rename = "@level")]
+    pub level: Level,
+}
+
+/// How a line of the log looks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Words and `name=value` parts.
+    #[default]
+    Text,
+    /// A JSON object.
+    Json,
+}
+
+/// The gravity of events.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// What the program cannot do.
+    Error,
+    /// What an operator should look at.
+    Warn,
+    /// What goes on.
+    #[default]
+    Info,
+}
+
+/// The records of what the program decided and saw.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Records {
+    /// An existing directory.
+    #[serde(rename = "@directory")]
+    pub directory: PathBuf,
+    /// The proxy's name.
+    #[serde(rename = "@proxy")]
+    pub proxy: String,
+    /// The store's size in MiB, past which the oldest records go.
+    #[serde(default = "max_megabytes", rename = "@max-megabytes")]
+    pub max_megabytes: u64,
+    /// Days for which single answers are kept.
+    #[serde(default = "keep_days", rename = "@keep-days")]
+    pub keep_days: u32,
+    /// Days for which sums and all else are kept.
+    #[serde(default = "keep_sums_days", rename = "@keep-sums-days")]
+    pub keep_sums_days: u32,
+    /// Records that may wait to be written.
+    #[serde(default = "queue", rename = "@queue")]
+    pub queue: usize,
+    /// Milliseconds that a record may wait before it is flushed.
+    #[serde(default = "flush_ms", rename = "@flush-ms")]
+    pub flush_ms: u64,
+}
+
+fn max_megabytes() -> u64 {
+    1024
+}
+
+fn keep_days() -> u32 {
+    7
+}
+
+fn keep_sums_days() -> u32 {
+    400
+}
+
+fn queue() -> usize {
+    16384
+}
+
+fn flush_ms() -> u64 {
+    500
+}
+
+/// What is wrong in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, from 1.
+    pub line: usize,
+    /// The element and the attribute, as in `records/@queue`.
+    pub place: String,
+    /// What is wrong, and what is allowed.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}: {}", self.line, self.place, self.what)
+    }
+}
+
+/// Reads a file; every fault comes with the file's name before it.
+pub fn load(path: &Path) -> Result<Settings, Vec<String>> {
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
+    parse(&text).map_err(|faults| faults.iter().map(|f| format!("{}: {f}", path.display())).collect())
+}
+
+/// Checks a text against a schema of the kind that the settings have: elements with attributes and children, and
+/// simple types by enumeration, bounds of an integer and length.
+pub fn check(schema: &str, text: &str) -> Result<(), Vec<Fault>> {
+    let faults = schema::Schema::parse(schema)?.check(&tree::parse(text)?);
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(faults)
+    }
+}
+
+/// Reads the settings' text.
+pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+    check(SCHEMA, text)?;
+    quick_xml::de::from_str(text)
+        .map_err(|e| vec![Fault { line: 1, place: "wharfplank".to_string(), what: e.to_string() }])
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,109 @@
+use super::schema::{Kind, Schema, Shape};
+use super::*;
+
+const EXAMPLE: &str = include_str!("../../../deploy/settings.example.xml");
+
+fn places(text: &str) -> Vec<(usize, String)> {
+    parse(text).unwrap_err().into_iter().map(|f| (f.line, f.place)).collect()
+}
+
+/// Values at the edges of what a type allows, and values just past them.
+fn edges(kind: &Kind) -> (Vec<String>, Vec<String>) {
+    let text = |length: usize| "x".repeat(length);
+    let (mut good, mut bad) = (kind.values.clone(), vec![]);
+    if !kind.values.is_empty() {
+        bad.extend(["other".to_string(), String::new()]);
+    } else if kind.integer {
+        let (least, most) = (kind.least.expect("a bound"), kind.most.expect("a bound"));
+        good.extend([least, most].map(|n| n.to_string()));
+        bad.extend([least - 1, most + 1].map(|n| n.to_string()));
+        bad.extend(["".to_string(), "1.5".to_string(), "ten".to_string()]);
+    } else {
+        let longest = kind.longest.expect("a bound");
+        good.extend([text(kind.shortest), text(longest)]);
+        bad.extend([text(kind.shortest - 1), text(longest + 1)]);
+    }
+    (good, bad)
+}
+
+/// One element with the required attributes of its shape, and one attribute set.
+fn element(schema: &Schema, name: &str, shape: &Shape, set: Option<(&str, &str)>) -> String {
+    let required =
+        shape.attributes.iter().filter(|(n, a)| a.required && set.is_none_or(|(s, _)| s != n.as_str()));
+    let mut all: Vec<(String, String)> =
+        required.map(|(n, a)| (n.clone(), edges(&schema.kinds[&a.kind]).0.remove(0))).collect();
+    all.extend(set.map(|(n, v)| (n.to_string(), v.to_string())));
+    let attributes: String = all.iter().map(|(n, v)| format!(" {n}=\"{v}\"")).collect();
+    format!("<wharfplank><{name}{attributes}/></wharfplank>")
+}
+
+/// Guards against a schema, a reader and an example that drift apart: every attribute of the schema is read at the
+/// edges of its type and refused past them, its default is the reader's, and the example holds each of them.
+#[test]
+fn schema_reader_and_example_agree() {
+    let schema = Schema::parse(SCHEMA).unwrap();
+    let example = tree::parse(EXAMPLE).unwrap();
+    assert_eq!(parse(EXAMPLE).map(|s| s.records.is_some()), Ok(true));
+    for (name, (shape, _)) in &schema.shape.children {
+        let plain = parse(&element(&schema, name, shape, None)).unwrap();
+        let shown = example.child(name).unwrap_or_else(|| panic!("the example has no {name}"));
+        for (attribute, of) in &shape.attributes {
+            assert!(shown.attribute(attribute).is_some(), "the example has no {name}/@{attribute}");
+            let (good, bad) = edges(&schema.kinds[&of.kind]);
+            let set = |value: &str| parse(&element(&schema, name, shape, Some((attribute, value))));
+            for value in good {
+                // Reading what the schema takes must not fail, and must not be lost: another value reads otherwise.
+                let read = set(&value).unwrap_or_else(|f| panic!("{name}/@{attribute}='{value}': {f:?}"));
+                let same = of.default.as_deref() == Some(&*value) || (of.required && read == plain);
+                assert_eq!(read == plain, same, "{name}/@{attribute}='{value}' is not read");
+            }
+            for value in bad {
+                assert!(set(&value).is_err(), "{name}/@{attribute}='{value}' is taken");
+            }
+            if let Some(default) = &of.default {
+                assert_eq!(set(default), Ok(plain.clone()), "{name}/@{attribute}: the default differs");
+            }
+        }
+    }
+}
+
+/// Guards against a file that is read in part, and against faults that come one at a time.
+#[test]
+fn all_faults_are_named_with_their_lines() {
+    let text = "<wharfplank>\n  <log format='xml'\n       colour='red'/>\n  <records queue='1'/>\n  <nothing/>\n</wharfplank>";
+    let faults = parse(text).unwrap_err();
+    assert_eq!(
+        faults.iter().map(|f| f.to_string()).collect::<Vec<_>>(),
+        [
+            "line 2: wharfplank/log/@format: 'xml' cannot be; allowed is one of text, json",
+            "line 2: wharfplank/log/@colour: is no attribute of it; allowed are format, level",
+            "line 4: wharfplank/records/@queue: '1' cannot be; allowed is a whole number from 16 to 1048576",
+            "line 4: wharfplank/records/@directory: is missing; allowed is text of 1 to 4096 characters",
+            "line 4: wharfplank/records/@proxy: is missing; allowed is text of 1 to 64 characters",
+            "line 5: wharfplank/nothing: is no element of it; allowed are log, records",
+        ]
+    );
+    assert_eq!(places("<wharfplank><log/><log/></wharfplank>"), [(1, "wharfplank/log".to_string())]);
+    assert_eq!(places("<wharfplank>\nsome text</wharfplank>"), [(1, "wharfplank".to_string())]);
+    assert_eq!(places("<other/>"), [(1, "other".to_string())]);
+}
+
+/// Guards against what is not XML, or is made to be read for ever.
+#[test]
+fn broken_files_are_named() {
+    let deep = "<a>".repeat(40);
+    let long = " ".repeat(2_000_000);
+    let cases = [
+        "",
+        "<wharfplank>",
+        "<wharfplank",
+        "<wharfplank></log>",
+        "<!DOCTYPE a []><wharfplank/>",
+        &deep,
+        &long,
+    ];
+    for text in cases {
+        assert_eq!(parse(text).map_err(|faults| faults.len()), Err(1), "{}", &text[..text.len().min(40)]);
+    }
+    assert_eq!(parse("<wharfplank/>"), Ok(Settings::default()));
+}
--- a/src/transport/client.rs
+++ b/crates/transport/src/client.rs
@@ -2,9 +2,6 @@
 
 use super::clients::{Clients, Leaving, Peer};
 use super::{within, Asked, Event, Memory, Part, Statement};
-use crate::protocol::comment;
-use crate::protocol::pipeline::{Answer, Next, Pipeline, Ticket};
-use crate::protocol::server::{Command, Server, Violation};
 use async_io::Async;
 use event_listener::{Event as Bell, EventListener};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
@@ -13,6 +10,9 @@
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use wharfplank_protocol::comment;
+use wharfplank_protocol::pipeline::{Answer, Next, Pipeline, Ticket};
+use wharfplank_protocol::server::{Command, Server, Violation};
 
 /// What a client may take, from its accept on, until it has asked something for the first time, and from its
 /// first byte on until a message is whole: within 3 s of connecting it is to hear what is wrong.
@@ -292,8 +292,12 @@
             Ok(Wake::Read(0)) if open => Err("client_gone"),
             Ok(Wake::Read(0)) => Err("client_closed"),
             Ok(Wake::Read(_)) => Ok(()),
-            Ok(Wake::Rung) if close => Err(if leave { "shutdown" } else { "evicted" }),
+            Ok(Wake::Rung) if close && (open || c.hangs_up()) => {
+                Err(if leave { "shutdown" } else { "evicted" })
+            }
+            Ok(Wake::Due) if stays.is_some() && c.hangs_up() => Err("idle_timeout"),
             Ok(Wake::Rung) => Ok(()),
+            Ok(Wake::Due) if stays.is_some() => Ok(()),
             Ok(Wake::Due) => {
                 c.lane.end(late, violation(late));
                 Ok(())
@@ -397,6 +401,15 @@
         Ok(count)
     }
 
+    /// Ends a connection on which nothing is open, unless something has just arrived. A client that sends many
+    /// requests at once loses all but the first where its write crosses the close, and a process that must share its
+    /// core may stand still between any two steps: so nothing lies between this look and the end.
+    fn hangs_up(&self) -> bool {
+        let stream = self.stream.get_ref();
+        let quiet = matches!(stream.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        quiet && stream.shutdown(Shutdown::Both).is_ok()
+    }
+
     async fn flush(&mut self) -> Result<(), Reason> {
         if self.server.out.is_empty() {
             return Ok(());
--- a/src/transport/clients.rs
+++ b/crates/transport/src/clients.rs
@@ -2,7 +2,6 @@
 
 use super::client::{Connection, Lane};
 use super::{Ended, Ends, Event, Memory};
-use crate::protocol::server::Violation;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -13,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use wharfplank_protocol::server::Violation;
 
 /// Connections that have asked nothing for so long make room first: a client sends its startup at once.
 const MUTE: Duration = Duration::from_millis(20);
--- a/src/transport/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -2,10 +2,6 @@
 //! a second one beside a call that may hang.
 
 use super::{within, Ended, Ends, Event};
-use crate::membership::{Age, Ask, Call, Desk, News};
-use crate::protocol::catalog::{self, Catalog};
-use crate::protocol::http;
-use crate::routing::Micros;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -15,6 +11,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use wharfplank_membership::{Age, Ask, Call, Desk, News};
+use wharfplank_protocol::catalog::{self, Catalog};
+use wharfplank_protocol::http;
+use wharfplank_routing::Micros;
 
 /// The caller's clock.
 pub type Now = Rc<dyn Fn() -> Micros>;
--- a/src/transport/mod.rs
+++ b/crates/transport/src/lib.rs
@@ -7,11 +7,6 @@
 pub mod members;
 pub mod signals;
 
-use crate::membership::{Age, News};
-use crate::protocol::buffer::MODEST;
-use crate::protocol::comment;
-use crate::protocol::pipeline::Ticket;
-use crate::routing::{HostId, RequestId};
 use futures_lite::future;
 use std::cell::Cell;
 use std::future::Future;
@@ -19,6 +14,11 @@
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Instant;
+use wharfplank_membership::{Age, News};
+use wharfplank_protocol::buffer::MODEST;
+use wharfplank_protocol::comment;
+use wharfplank_protocol::pipeline::Ticket;
+use wharfplank_routing::{HostId, RequestId};
 
 /// A client's statement: kept once, and shared by all attempts of its request.
 #[derive(Debug)]
--- a/src/transport/members.rs
+++ b/crates/transport/src/members.rs
@@ -4,8 +4,6 @@
 //! run apart from the attempts and keep a few spare, so that a send seldom waits for a handshake.
 
 use super::{within, Ended, Ends, Memory, Part, Statement};
-use crate::protocol::client::{self, Answer, Broken, Client, Verdict};
-use crate::routing::Ending;
 use async_channel::{bounded, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -15,6 +13,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use wharfplank_protocol::client::{self, Answer, Broken, Client, Verdict};
+use wharfplank_routing::Ending;
 
 /// Idle connections that a member in use is kept ready with, and the most that open at one time.
 const SPARE: usize = 2;
--- a/src/bin/wharfplank-benchlink/wire.rs
+++ b/src/bin/wharfplank-benchlink/wire.rs
@@ -223,10 +223,10 @@
         Action::Send { id, host, timeout, .. } => {
             writeln!(reply, "RELAY Who={who} Id={} WithinUs={timeout} Host={}", text(id), host.0)
         }
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             writeln!(reply, "REJECT Who={who} Id={} HoldOffUs={retry_after}", text(id))
         }
-        Action::Fail(id) => writeln!(reply, "ABORT Who={who} Id={}", text(id)),
+        Action::Fail(id, _) => writeln!(reply, "ABORT Who={who} Id={}", text(id)),
         Action::Cancel { id, attempt } => {
             writeln!(reply, "DROP_ATTEMPT Who={who} Id={} SendNo={}", text(id), attempt.0)
         }
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,194 @@
+//! Sub-commands and exit codes.
+//!
+//! | code | meaning |
+//! | --- | --- |
+//! | 0 | done |
+//! | 1 | it ran and failed |
+//! | 2 | the command line cannot be understood |
+//! | 3 | settings or a configuration cannot be used; nothing was started |
+
+mod lab;
+mod records;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use wharfplank::program::{config::Config, log, run as serve};
+use wharfplank::settings::{self, Settings};
+
+const FAILED: u8 = 1;
+const BAD_SETTINGS: u8 = 3;
+
+/// Routes payroll database reads and writes over replicated groups.
+#[derive(Parser)]
+#[command(
+    version,
+    about,
+    after_help = "Without a sub-command it serves, as the deploy file starts it.\n\
+    Exit codes: 0 done, 1 failed while running, 2 usage, 3 bad settings or configuration."
+)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM. BALANCER_CONFIG names the configuration.
+    #[command(
+        after_help = "Example: BALANCER_CONFIG=config.json wharfplank serve --settings deploy/settings.example.xml"
+    )]
+    Serve {
+        /// The program's own settings; without them all that they stand for is off.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
+    },
+    /// Check settings and a configuration without starting anything, and name every fault.
+    #[command(
+        after_help = "Example: wharfplank check --settings deploy/settings.example.xml --config config.json"
+    )]
+    Check {
+        /// The program's own settings.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
+        /// The configuration as the platform gives it.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// Print the schema of the settings and end.
+        #[arg(long)]
+        schema: bool,
+    },
+    /// Say what stores of records hold: runs, sizes and what is not known.
+    #[command(after_help = "Example: wharfplank records /var/lib/wharfplank")]
+    Records {
+        /// Directories with stores, or stores.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+    },
+    /// Write an incident report from records, also of several proxies and beside running ones.
+    #[command(
+        after_help = "Example: wharfplank report /var/lib/wharfplank -o report.html --json report.json --last 3600"
+    )]
+    Report {
+        /// Directories with stores, or stores.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// The report as one HTML file.
+        #[arg(short, long, value_name = "FILE")]
+        out: Option<PathBuf>,
+        /// The same facts as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        #[command(flatten)]
+        span: records::Span,
+    },
+    /// The laboratory: stand-in members and discovery, scripted troubles and a load, on loopback addresses.
+    #[command(subcommand)]
+    Lab(Lab),
+    /// Print completions for a shell.
+    #[command(after_help = "Example: wharfplank completions bash > /etc/bash_completion.d/wharfplank")]
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Subcommand)]
+enum Lab {
+    /// Play a calm while and show answers and times by class.
+    Demo {
+        /// Where logs and records go [default: target/demo].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
+    /// Play a scripted incident, write its report, and hold the report against the script.
+    #[command(
+        after_help = "Example: wharfplank lab incident crates/lab/timelines/incident.xml -o target/incident"
+    )]
+    Incident {
+        /// The timeline; the built-in one if absent.
+        timeline: Option<PathBuf>,
+        /// Where logs, records and the report go [default: target/incident].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
+}
+
+/// Why a command ends early: what to say, and the exit code.
+pub struct Stop(Vec<String>, u8);
+
+impl Stop {
+    fn failed(what: impl ToString) -> Self {
+        Stop(vec![what.to_string()], FAILED)
+    }
+
+    fn settings(what: Vec<String>) -> Self {
+        Stop(what, BAD_SETTINGS)
+    }
+}
+
+/// Runs what the command line says.
+pub fn run() -> ExitCode {
+    let done = match Line::parse().command {
+        None => serving(None),
+        Some(Command::Serve { settings }) => serving(settings),
+        Some(Command::Check { settings, config, schema }) => check(settings, config, schema),
+        Some(Command::Records { paths }) => records::records(&paths),
+        Some(Command::Report { paths, out, json, span }) => {
+            records::report(&paths, &span, out.as_deref(), json.as_deref())
+        }
+        Some(Command::Lab(Lab::Demo { out })) => lab::demo(&lab::place(out, "demo")),
+        Some(Command::Lab(Lab::Incident { timeline, out })) => {
+            lab::incident(timeline.as_deref(), &lab::place(out, "incident"))
+        }
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Line::command(), "wharfplank", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Stop(what, code)) => {
+            what.iter().for_each(|what| eprintln!("wharfplank: {what}"));
+            ExitCode::from(code)
+        }
+    }
+}
+
+fn load(settings: Option<PathBuf>) -> Result<Settings, Stop> {
+    settings.map_or(Ok(Settings::default()), |path| settings::load(&path)).map_err(Stop::settings)
+}
+
+fn serving(settings: Option<PathBuf>) -> Result<(), Stop> {
+    let settings = load(settings)?;
+    let config = Config::from_environment().map_err(|what| Stop::settings(vec![what]))?;
+    let _log = log::start(&settings.log).map_err(Stop::failed)?;
+    serve(config, &settings).map_err(Stop::failed)
+}
+
+fn check(settings: Option<PathBuf>, config: Option<PathBuf>, schema: bool) -> Result<(), Stop> {
+    if schema {
+        print!("{}", settings::SCHEMA);
+        return Ok(());
+    }
+    let mut faults = Vec::new();
+    if let Some(path) = &settings {
+        faults.extend(settings::load(path).err().unwrap_or_default());
+    }
+    if let Some(path) = &config {
+        faults.extend(Config::read(path, None, None).err());
+    }
+    if settings.is_none() && config.is_none() {
+        return Err(Stop(
+            vec!["nothing to check: give --settings FILE, --config FILE or both".to_string()],
+            2,
+        ));
+    }
+    match faults.is_empty() {
+        true => {
+            println!("no fault found");
+            Ok(())
+        }
+        false => Err(Stop::settings(faults)),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,16 @@
 //! wharfplank: a proxy that routes payroll database reads and writes over replicated groups.
 //!
-//! The layers depend downwards only: `program` on `transport`, `transport` on `membership`, `protocol` and
-//! `routing`; `membership` takes its words for a list from `protocol`, and those two depend on nothing else. `docs/architecture.md` follows a request through them.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! One crate for each concern, under the name that it has in the pages; they depend downwards only: `program` on
+//! `transport`, `transport` on `membership`, `protocol` and `routing`; `membership` takes its words for a list from
+//! `protocol`, and those two depend on nothing else. `docs/architecture.md` follows a request through them.
 
-pub mod membership;
-pub mod program;
-pub mod protocol;
-pub mod routing;
-pub mod transport;
+pub use wharfplank_incidents as incidents;
+pub use wharfplank_lab as lab;
+pub use wharfplank_membership as membership;
+pub use wharfplank_program as program;
+pub use wharfplank_protocol as protocol;
+pub use wharfplank_records as records;
+pub use wharfplank_report as report;
+pub use wharfplank_routing as routing;
+pub use wharfplank_settings as settings;
+pub use wharfplank_transport as transport;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,15 +1,9 @@
-//! Starts the proxy.
-#![forbid(unsafe_code)]
+//! The command line: one program for the proxy and for the people who run it.
+
+mod cli;
 
 use std::process::ExitCode;
-use wharfplank::program::{config::Config, run};
 
 fn main() -> ExitCode {
-    match Config::from_environment().and_then(run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("wharfplank: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    cli::run()
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -158,5 +158,5 @@
 }
 
 pub fn failed(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Fail(_)))
+    actions.iter().any(|a| matches!(a, Action::Fail(..)))
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -90,7 +90,7 @@
         actions.extend(b.ask(class));
     }
     actions.extend(b.pass(1_000_000));
-    let finals = actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_)));
+    let finals = actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(..)));
     assert_eq!(finals.count(), classes.len());
 }
 
