Answer an unusable request in its place instead of closing on it; the console

Such a request now gets its error in its place and the connection goes on; d=0 is refused as what it is, a request whose time is over.

--- /dev/null
+++ b/crates/console/src/screen.rs
@@ -0,0 +1,165 @@
+//! How it looks.
+
+use crate::state::State;
+use ratatui::layout::{Constraint, Layout, Rect};
+use ratatui::style::{Modifier, Style};
+use ratatui::text::Line;
+use ratatui::widgets::{Block, Borders, Paragraph, Row, Table, Wrap};
+use ratatui::Frame;
+use wharfplank_report::facts::{title, Answers, MemberFacts};
+use wharfplank_report::html::utc;
+use wharfplank_report::Facts;
+
+/// The smallest terminal that everything fits into.
+pub const LEAST: (u16, u16) = (80, 24);
+/// Heights of a column of a small chart; a space is nothing, a dot is not known.
+const BARS: [&str; 8] = ["▁", "▂", "▃", "▄", "▅", "▆", "▇", "█"];
+
+/// Draws all of it.
+pub fn draw(frame: &mut Frame<'_>, state: &State, facts: &Facts, note: &str) {
+    let area = frame.area();
+    if area.width < LEAST.0 || area.height < LEAST.1 {
+        let text =
+            format!("The terminal is {}x{}; {}x{} is needed.", area.width, area.height, LEAST.0, LEAST.1);
+        return frame.render_widget(Paragraph::new(text).wrap(Wrap { trim: true }), area);
+    }
+    let spare = area.height - LEAST.1;
+    let [head, members, lower, foot] = Layout::vertical([
+        Constraint::Length(1),
+        Constraint::Length(10 + spare / 2),
+        Constraint::Min(8),
+        Constraint::Length(1),
+    ])
+    .areas(area);
+    let [answers, incidents] =
+        Layout::horizontal([Constraint::Percentage(50), Constraint::Percentage(50)]).areas(lower);
+    let (from, to) = state.span();
+    let how = if state.follows() { "live" } else { "held" };
+    let shown = format!(
+        " {how}  {} to {}  {:.0} s  group {}  class {}",
+        utc(from),
+        &utc(to)[11..],
+        (to - from) as f64 / 1e6,
+        state.group.map_or("all".to_string(), |g| g.to_string()),
+        state.class.as_deref().unwrap_or("all")
+    );
+    let strong = Style::new().add_modifier(Modifier::REVERSED);
+    frame.render_widget(Paragraph::new(shown).style(strong), head);
+    draw_members(frame, members, state, facts);
+    draw_answers(frame, answers, state, facts);
+    draw_incidents(frame, incidents, facts);
+    let keys = " space hold  ←→ time  +- zoom  g group  c class  ↑↓ members  q quit ";
+    let foot_text = if note.is_empty() { keys.to_string() } else { format!(" {note}") };
+    frame.render_widget(Paragraph::new(foot_text).style(strong), foot);
+}
+
+/// The last value that is known, and how many bins ago it was.
+fn last<T: Copy>(values: &[Option<T>]) -> Option<(T, usize)> {
+    values.iter().rev().enumerate().find_map(|(ago, v)| v.map(|v| (v, ago)))
+}
+
+/// A small chart of what was known: columns are the largest of their bins, a dot where nothing was.
+fn chart(values: &[Option<i64>], width: usize, top: i64) -> String {
+    let column = |i: usize| {
+        let (from, to) =
+            (i * values.len() / width, ((i + 1) * values.len() / width).max(i * values.len() / width + 1));
+        let known = values.get(from..to.min(values.len())).unwrap_or_default().iter().flatten().max();
+        known.map_or("·", |v| match *v {
+            0 => " ",
+            v => BARS[(v * 8 / top.max(1)).clamp(0, 7) as usize],
+        })
+    };
+    (0..width).map(column).collect()
+}
+
+fn draw_members(frame: &mut Frame<'_>, area: Rect, state: &State, facts: &Facts) {
+    let of = |m: &&MemberFacts| state.group.is_none_or(|g| m.group == g);
+    let all: Vec<&MemberFacts> = facts.members.iter().filter(of).collect();
+    let width = usize::from(area.width).saturating_sub(50).clamp(8, 120);
+    let top = all.iter().flat_map(|m| m.behind_ms.iter().flatten()).max().copied().unwrap_or(0).max(1000);
+    let rows = all.iter().skip(state.scroll).map(|m| {
+        let role = match last(&m.primary) {
+            Some((true, _)) => "primary",
+            Some((false, _)) => "replica",
+            None => "not known",
+        };
+        let behind = match last(&m.behind_ms) {
+            Some((ms, 0..=2)) => format!("{:.2} s", ms as f64 / 1000.0),
+            Some((_, ago)) => format!("heard -{ago}"),
+            None => "not known".to_string(),
+        };
+        let suspected = m.suspected.last().copied().unwrap_or(0);
+        let doubt = if suspected > 0 { format!("by {suspected}") } else { "-".to_string() };
+        let zone = m.zone.clone().unwrap_or_else(|| "?".to_string());
+        Row::new([m.name.clone(), zone, role.to_string(), behind, doubt, chart(&m.behind_ms, width, top)])
+    });
+    let columns = [
+        Constraint::Length(10),
+        Constraint::Length(9),
+        Constraint::Length(9),
+        Constraint::Length(10),
+        Constraint::Length(5),
+        Constraint::Min(8),
+    ];
+    let head = Row::new(["member", "zone", "role", "behind", "susp.", "behind over time, · not known"]);
+    let name = format!(" Members {}-{} of {} ", (state.scroll + 1).min(all.len()), all.len(), all.len());
+    let block = Block::new().borders(Borders::ALL).title(name);
+    let table = Table::new(rows, columns).header(head.style(Style::new().add_modifier(Modifier::BOLD)));
+    frame.render_widget(table.block(block), area);
+}
+
+fn draw_answers(frame: &mut Frame<'_>, area: Rect, state: &State, facts: &Facts) {
+    let width = usize::from(area.width).saturating_sub(12);
+    let all = facts.proxies.len();
+    let known = |of: &dyn Fn(&wharfplank_report::facts::BinFacts) -> u64| -> Vec<Option<i64>> {
+        facts.series.iter().map(|b| (b.proxies == all && all > 0).then(|| of(b) as i64)).collect()
+    };
+    let served = known(&|b| b.served);
+    let late = known(&|b| b.late);
+    let lost = known(&|b| b.lost.values().sum());
+    let top = |values: &[Option<i64>]| values.iter().flatten().max().copied().unwrap_or(1).max(1);
+    let mut lines: Vec<Line<'_>> = [("in time", &served), ("late", &late), ("lost", &lost)]
+        .iter()
+        .map(|(name, values)| Line::from(format!("{name:<8}{}", chart(values, width, top(values)))))
+        .collect();
+    lines.push(Line::from(format!("{:<13}{:>8}{:>5}{:>5}{:>5}", "class", "in time", "late", "ref.", "fail")));
+    let of = |(name, _): &(&String, &Answers)| state.class.as_ref().is_none_or(|c| c == *name);
+    let chosen: Vec<_> = facts.classes.iter().filter(of).collect();
+    for (name, a) in &chosen {
+        let (refused, failed) = (a.refused.values().sum::<u64>(), a.failed.values().sum::<u64>());
+        lines.push(Line::from(format!("{name:<13}{:>8}{:>5}{refused:>5}{failed:>5}", a.served, a.late)));
+    }
+    for (name, a) in &chosen {
+        for (reason, count) in a.refused.iter().chain(&a.failed) {
+            lines.push(Line::from(format!("  {name}: {reason} {count}")));
+        }
+    }
+    let block = Block::new().borders(Borders::ALL).title(" Answers ");
+    frame.render_widget(Paragraph::new(lines).block(block), area);
+}
+
+fn draw_incidents(frame: &mut Frame<'_>, area: Rect, facts: &Facts) {
+    let mut lines: Vec<Line<'_>> = Vec::new();
+    for i in &facts.incidents {
+        let span = format!("{:>4.0}-{:<4.0}", facts.second(i.from), facts.second(i.to));
+        let open = if i.open { " …" } else { "" };
+        lines.push(Line::from(format!("{span} {}{open}", title(i))));
+        lines.push(Line::from(format!(
+            "          {} late, {} lost, {}",
+            i.late,
+            i.refusals.values().sum::<u64>(),
+            i.strength.name()
+        )));
+    }
+    for proxy in &facts.proxies {
+        for gap in &proxy.gaps {
+            let span = format!("{:>4.0}-{:<4.0}", facts.second(gap.from), facts.second(gap.to));
+            lines.push(Line::from(format!("{span} {}: no records", proxy.name)));
+        }
+    }
+    if lines.is_empty() {
+        lines.push(Line::from("none found"));
+    }
+    let block = Block::new().borders(Borders::ALL).title(" Incidents and gaps, by second ");
+    frame.render_widget(Paragraph::new(lines).block(block), area);
+}
--- a/crates/incidents/src/find.rs
+++ b/crates/incidents/src/find.rs
@@ -24,6 +24,9 @@
 /// within the span looked at.
 const SLOW_ANSWERS: f64 = 2.0;
 const ANSWERS: u64 = 3;
+/// A member that is given this many times its usual work, over so many bins to each side, is crowded.
+const CROWDED: f64 = 1.2;
+const CROWD: i64 = 2;
 /// Bins looked at together, to each side.
 const AROUND: i64 = 1;
 /// Breaks up to this long do not end an incident; what is shorter than `SHORTEST` is none.
@@ -273,10 +276,13 @@
         }
     }
     for run in runs(evidence, &series) {
-        let members: BTreeSet<&str> =
-            slow_at.range(run.0..run.1).flat_map(|(_, names)| names).copied().collect();
-        let members = members.into_iter().map(str::to_string).collect();
-        all.push(incident(evidence, Kind::SlowApply, "", run, members));
+        // One that stood still for a moment in it held a long read: it must have been slow for a good part.
+        let within = || slow_at.range(run.0..run.1);
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        within().flat_map(|(_, names)| names).for_each(|name| *counts.entry(name).or_default() += 1);
+        let known = within().count();
+        let members = counts.into_iter().filter(|(_, n)| n * 2 >= known).map(|(name, _)| name.to_string());
+        all.push(incident(evidence, Kind::SlowApply, "", run, members.collect()));
     }
 }
 
@@ -303,11 +309,18 @@
         })
         .collect();
     let mut ratios: BTreeMap<&str, BTreeMap<Micros, (u64, f64)>> = BTreeMap::new();
+    let mut work: BTreeMap<&str, BTreeMap<Micros, f64>> = BTreeMap::new();
+    let mut covered: BTreeMap<Micros, (usize, usize)> = BTreeMap::new();
     for ((member, class), bins) in &took {
         let Some(usual) = usual.get(class) else { continue };
         for (bin, (count, took)) in bins {
             let at = ratios.entry(member).or_default().entry(*bin).or_default();
             *at = (at.0 + count, at.1 + *took as f64 / usual);
+            // Of proxies whose records are missing nobody knows what they gave it: taken as much as the others.
+            let (known, proxies) =
+                *covered.entry(*bin).or_insert_with(|| evidence.coverage(*bin, bin + evidence.bin));
+            let of = work.entry(member).or_default().entry(*bin).or_default();
+            *of += *count as f64 * usual * proxies as f64 / known.max(1) as f64;
         }
     }
     // Where most members are slow at once it is load, or the network, and none of them.
@@ -316,15 +329,33 @@
         let (count, sum) = around.fold((0, 0.0), |(c, s), (_, (count, ratio))| (c + count, s + ratio));
         (count >= ANSWERS).then(|| sum / count as f64)
     };
+    let most = ratios.values().flat_map(BTreeMap::keys).max().copied().unwrap_or(0);
     for (member, bins) in &ratios {
         let mut series = Series::new();
-        for bin in evidence.bins() {
+        let own_work = &work[member];
+        let mut usual: Vec<f64> = own_work.values().copied().collect();
+        usual.sort_by(f64::total_cmp);
+        let usual = usual[usual.len() / 4];
+        // One that is given more than it usually is, and more than others, answers late because of that: it is
+        // crowded, and not at fault. A slow one is avoided.
+        let given = |work: &BTreeMap<Micros, f64>, bin: Micros| {
+            work.range(bin - CROWD * evidence.bin..=bin + CROWD * evidence.bin)
+                .map(|(_, work)| work)
+                .sum::<f64>()
+        };
+        let crowded = |bin: Micros| {
+            let own = given(own_work, bin);
+            let others = work.iter().filter(|(m, _)| *m != member).map(|(_, work)| given(work, bin));
+            let mean = others.sum::<f64>() / (work.len().max(2) - 1) as f64;
+            own >= CROWDED * usual * (2 * CROWD + 1) as f64 && own >= CROWDED * mean
+        };
+        for bin in evidence.bins().take_while(|bin| *bin < most) {
             let Some(own) = ratio(bins, bin) else { continue };
             let mut others: Vec<f64> =
                 ratios.iter().filter(|(m, _)| *m != member).filter_map(|(_, b)| ratio(b, bin)).collect();
             others.sort_by(f64::total_cmp);
             let middle = others.get(others.len() / 2).copied().unwrap_or(1.0).max(0.5);
-            series.insert(bin, own >= SLOW_ANSWERS * middle.max(1.0));
+            series.insert(bin, own >= SLOW_ANSWERS * middle.max(1.0) && !crowded(bin));
         }
         for run in runs(evidence, &series) {
             all.push(incident(evidence, Kind::SlowMember, member, run, vec![member.to_string()]));
--- a/crates/incidents/src/gather.rs
+++ b/crates/incidents/src/gather.rs
@@ -1,6 +1,7 @@
 //! Reads evidence out of stores, one pass over their blocks.
 
-use crate::evidence::{Evidence, Proxy, StaleRead, State};
+use crate::evidence::{Count, Evidence, Proxy, StaleRead, State};
+use std::collections::{BTreeMap, HashMap};
 use wharfplank_records::reader::{Reader, Source};
 use wharfplank_records::{Micros, Outcome, Record};
 
@@ -30,8 +31,17 @@
     evidence
 }
 
+/// Counts of one run by numbers: names come in once at the end, since a day has millions of answers.
+#[derive(Default)]
+struct Tally {
+    answers: HashMap<(Micros, u16, Outcome), Count>,
+    served: HashMap<(Micros, u32, u16), Count>,
+    troubled: HashMap<(Micros, u64, Outcome), u64>,
+    states: HashMap<u32, Vec<State>>,
+    listed: HashMap<u32, Vec<(Micros, String)>>,
+}
+
 fn read(source: &Source, evidence: &mut Evidence, proxy: &mut Proxy) -> Result<(), String> {
-    let mut unnamed = 0_u64;
     let name = |run: i64, kind: &str, number: i64| {
         let known = source.name(run, kind, number).map(|n| n.name.clone());
         known.unwrap_or_else(|| format!("{kind} {number}"))
@@ -42,30 +52,29 @@
         }
     }
     let span = (evidence.from, evidence.to);
+    let mut tallies: BTreeMap<i64, Tally> = BTreeMap::new();
     let gaps = source.records(span, false, |run, at, record| {
         let bin = evidence.bin_of(at);
+        let tally = tallies.entry(run).or_default();
         match record {
             Record::Name { name, zone, .. } => {
                 evidence.zones.insert(name, zone);
             }
             Record::Answer { class, group, member, attempts, took, outcome, stale } => {
-                let class = name(run, "class", i64::from(class));
                 let attempts = u64::from(attempts);
-                let key = (bin, class.clone(), outcome);
-                proxy.answers.entry(key).or_default().add(attempts, took);
+                tally.answers.entry((bin, class, outcome)).or_default().add(attempts, took);
                 if outcome != Outcome::Served {
-                    *proxy.troubled.entry((bin, group, outcome)).or_default() += 1;
+                    *tally.troubled.entry((bin, group, outcome)).or_default() += 1;
                 }
                 if let Some(member) = member {
-                    let member = name(run, "member", i64::from(member));
                     // What an answer took says how its member was when it was asked.
                     let bin = evidence.bin_of(at - took);
-                    proxy.served.entry((bin, member, class.clone())).or_default().add(attempts, took);
+                    tally.served.entry((bin, member, class)).or_default().add(attempts, took);
                 }
                 if let Some((needed, known)) = stale {
                     evidence.stale_count += 1;
                     if evidence.stale.len() < Evidence::STALE_MOST {
-                        let proxy = source.proxy.clone();
+                        let (proxy, class) = (source.proxy.clone(), name(run, "class", i64::from(class)));
                         evidence.stale.push(StaleRead { at, proxy, class, group, needed, known });
                     }
                 }
@@ -80,14 +89,45 @@
                     heard: seen.heard,
                     suspected: seen.suspected.is_some(),
                 };
-                proxy.states.entry(name(run, "member", i64::from(seen.member))).or_default().push(state);
+                let states = tally.states.entry(seen.member).or_default();
+                // One state a bin is enough for a long span; the last of it stands.
+                match states.last_mut() {
+                    Some(last) if evidence.bin > SECOND && evidence.bin_of(last.at) == bin => *last = state,
+                    _ => states.push(state),
+                }
             }
             Record::Listed { member, health, .. } => {
-                proxy.listed.entry(name(run, "member", i64::from(member))).or_default().push((at, health));
+                tally.listed.entry(member).or_default().push((at, health))
             }
-            _ => unnamed += 1,
+            _ => {}
         }
     });
     proxy.gaps.extend(gaps.map_err(|e| e.to_string())?);
+    for (run, tally) in tallies {
+        let class = |number: u16| name(run, "class", i64::from(number));
+        let member = |number: u32| name(run, "member", i64::from(number));
+        let merge = |into: &mut Count, of: Count| {
+            *into = Count {
+                count: into.count + of.count,
+                attempts: into.attempts + of.attempts,
+                took: into.took + of.took,
+            };
+        };
+        for ((bin, number, outcome), count) in tally.answers {
+            merge(proxy.answers.entry((bin, class(number), outcome)).or_default(), count);
+        }
+        for ((bin, number, of), count) in tally.served {
+            merge(proxy.served.entry((bin, member(number), class(of))).or_default(), count);
+        }
+        for (key, count) in tally.troubled {
+            *proxy.troubled.entry(key).or_default() += count;
+        }
+        for (number, states) in tally.states {
+            proxy.states.entry(member(number)).or_default().extend(states);
+        }
+        for (number, listed) in tally.listed {
+            proxy.listed.entry(member(number)).or_default().extend(listed);
+        }
+    }
     Ok(())
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`fleet`]: the stand-in members as a model without I/O: log shipping, one apply thread, cores and a queue.
 //! - [`stand`]: the model behind real sockets, and discovery.
 //! - [`load`]: an open-loop load; a late sender's delay counts.
+//! - [`trials`]: a synthetic day of records, and kills of a recording process.
 //! - [`run`]: starts the real program as processes, plays a timeline, and says what the load saw.
 
 pub mod fleet;
@@ -11,3 +12,4 @@
 pub mod run;
 pub mod stand;
 pub mod timeline;
+pub mod trials;
--- /dev/null
+++ b/crates/lab/src/trials.rs
@@ -0,0 +1,175 @@
+//! Trials of the records: a synthetic day, and a process that is killed while it records.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+use wharfplank_records::reader::Source;
+use wharfplank_records::record::{Outcome, Reason};
+use wharfplank_records::recorder::Terms;
+use wharfplank_records::store::{self, Limits, Store};
+use wharfplank_records::{Micros, Record, Recorder, Seen};
+
+const SECOND: Micros = 1_000_000;
+const LIMITS: Limits = Limits { bytes: 16 << 30, blocks: 30 * 86_400 * SECOND, sums: 400 * 86_400 * SECOND };
+
+/// Writes the stores of a made-up span of so many seconds: proxies, answers a second in all, twelve members. Between
+/// a third and a half of it most replicas stand behind and some reads are refused.
+pub fn synthetic(directory: &Path, seconds: i64, proxies: u64, rate: u64, seed: u64) -> Result<u64, String> {
+    let start = 1_800_000_000 * SECOND;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut written = 0;
+    for proxy in 0..proxies {
+        let name = format!("n{proxy}");
+        let (mut store, _) = Store::open(directory, &name, LIMITS, start).map_err(|e| e.to_string())?;
+        let mut records =
+            vec![(start, Record::Proxy { zone: ["a", "b", "c"][proxy as usize % 3].to_string() })];
+        for (class, name) in ["lookup", "own-edit-read", "run-report", "pay-write"].iter().enumerate() {
+            let record = Record::Class { class: class as u16, name: name.to_string(), aim: 300_000 };
+            records.push((start, record));
+        }
+        for member in 0..12_u32 {
+            let zone = ["a", "b", "c"][member as usize % 3].to_string();
+            records.push((
+                start,
+                Record::Name { member, name: format!("g{}m{}", member / 4, member % 4), zone },
+            ));
+        }
+        let each = (rate / proxies).max(1);
+        for second in 0..seconds {
+            let at = start + second * SECOND;
+            let behind =
+                (second * 3 > seconds && second * 2 < seconds).then_some((second * 3 - seconds) * SECOND / 3);
+            for member in 0..12_u32 {
+                let primary = member % 4 == 0;
+                let position = at - behind.filter(|_| !primary && member % 4 != 3).unwrap_or(8_000);
+                let (group, slowness) = (u64::from(member / 4), 100);
+                let seen = Seen {
+                    member,
+                    group,
+                    primary,
+                    active: true,
+                    position,
+                    heard: at,
+                    suspected: None,
+                    in_flight: 1,
+                    slowness,
+                };
+                records.push((at, Record::Seen(seen)));
+            }
+            for i in 0..each {
+                let at = at + (i * 1_000_000 / each) as Micros;
+                let class = [0, 0, 0, 0, 1, 1, 1, 1, 3, 2][rng.random_range(0..10)];
+                let took = rng.random_range(2_000..60_000);
+                let refused = behind.is_some() && class == 0 && rng.random_range(0..20) == 0;
+                let outcome = if refused { Outcome::Refused(Reason::TooStale) } else { Outcome::Served };
+                let stale = refused.then_some((at - 200_000, at - 900_000));
+                let member = (!refused).then(|| rng.random_range(0..12));
+                let record =
+                    Record::Answer { class, group: i % 3, member, attempts: 1, took, outcome, stale };
+                records.push((at, record));
+                written += 1;
+            }
+            if records.len() > 4096 {
+                store.append(&records, at + SECOND).map_err(|e| e.to_string())?;
+                records.clear();
+            }
+        }
+        store.append(&records, start + seconds * SECOND).map_err(|e| e.to_string())?;
+        store.end(start + seconds * SECOND).map_err(|e| e.to_string())?;
+    }
+    Ok(written)
+}
+
+fn now() -> Micros {
+    crate::stand::now()
+}
+
+/// Records without end as one run, and says on standard output how many are flushed. It is there to be killed, and
+/// ends by itself after ten seconds.
+pub fn record_until_killed(directory: &Path) -> Result<(), String> {
+    let terms = Terms {
+        directory: directory.into(),
+        proxy: "n0".to_string(),
+        queue: 16_384,
+        flush: Duration::from_millis(3),
+        limits: LIMITS,
+    };
+    let recorder = Recorder::start(terms, now, |_| {}).map_err(|e| e.to_string())?;
+    let end = now() + 10 * SECOND;
+    let mut said = 0;
+    while now() < end {
+        for _ in 0..20 {
+            let (class, group, member, attempts, took) = (0, 1, Some(2), 1, 10);
+            let (outcome, stale) = (Outcome::Served, None);
+            recorder.note(Record::Answer { class, group, member, attempts, took, outcome, stale });
+        }
+        recorder.hand_over();
+        let flushed = recorder.flushed();
+        if flushed > said {
+            said = flushed;
+            let mut out = std::io::stdout();
+            if writeln!(out, "{flushed}").and_then(|()| out.flush()).is_err() {
+                break;
+            }
+        }
+        std::thread::sleep(Duration::from_micros(300));
+    }
+    Ok(())
+}
+
+/// What kills showed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Kills {
+    /// Processes killed.
+    pub kills: u64,
+    /// Records that they had said were flushed.
+    pub acknowledged: u64,
+    /// Of those, found in the store.
+    pub found: u64,
+    /// Stores that did not open, or held a damaged block.
+    pub damaged: u64,
+}
+
+/// Kills a recording process at random moments, so many times, all on one store, and looks at it after each.
+pub fn kills(program: &Path, directory: &Path, times: u64, seed: u64) -> Result<Kills, String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut all = Kills::default();
+    for _ in 0..times {
+        let mut command = Command::new(program);
+        command
+            .args(["lab", "record-until-killed"])
+            .arg(directory)
+            .stdout(Stdio::piped())
+            .stdin(Stdio::null());
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+        let lines = BufReader::new(child.stdout.take().ok_or("no standard output")?);
+        // The first word shows that it records; then it lives for a random while.
+        let (sender, said) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let numbers = lines.lines().map_while(Result::ok).filter_map(|line| line.parse::<u64>().ok());
+            let _ = numbers.map(|number| sender.send(number)).take_while(Result::is_ok).count();
+        });
+        let first = said.recv_timeout(Duration::from_secs(20)).map_err(|_| "it does not record")?;
+        std::thread::sleep(Duration::from_micros(rng.random_range(0..40_000)));
+        child.kill().map_err(|e| e.to_string())?;
+        let _ = child.wait();
+        let acknowledged = said.iter().last().unwrap_or(first);
+        all.kills += 1;
+        all.acknowledged += acknowledged;
+        let Ok(source) = Source::open(&store::path(directory, "n0")) else {
+            all.damaged += 1;
+            continue;
+        };
+        let last = source.runs.last().map_or(0, |r| r.run);
+        let mut found = 0;
+        let gaps = source.records((0, Micros::MAX), false, |run, _, record| {
+            found += u64::from(run == last && matches!(record, Record::Answer { .. }));
+        });
+        all.damaged += u64::from(gaps.is_err());
+        all.found += found.min(acknowledged);
+    }
+    Ok(all)
+}
--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -192,6 +192,7 @@
             self.members.values().for_each(|m| m.tend());
             if self.journal.records() {
                 self.router.view().for_each(|view| self.journal.seen(&view));
+                self.journal.hand_over();
             }
         }
         if !self.ready {
--- a/crates/program/src/journal.rs
+++ b/crates/program/src/journal.rs
@@ -76,6 +76,13 @@
         self.recorder.is_some()
     }
 
+    /// Hands over what was noted; called at a steady pace.
+    pub fn hand_over(&self) {
+        if let Some(recorder) = &self.recorder {
+            recorder.hand_over();
+        }
+    }
+
     /// A member was heard of for the first time.
     pub fn named(&self, host: HostId, listed: &Host) {
         self.note(|| Record::Name { member: host.0, name: listed.name.clone(), zone: listed.site.clone() });
--- a/crates/protocol/src/comment.rs
+++ b/crates/protocol/src/comment.rs
@@ -15,7 +15,7 @@
     pub id: &'a str,
     /// The name of its class.
     pub class: &'a str,
-    /// Milliseconds that the client waits.
+    /// Milliseconds that the client waits; 0 where its time is over already.
     pub wait_ms: u32,
     /// Where the value of `d` stands in the statement.
     pub wait_at: Range<usize>,
@@ -70,9 +70,7 @@
     Ok(Comment {
         id,
         class: class.ok_or("the comment has no c")?,
-        wait_ms: number(wait)
-            .filter(|ms| (1..=WAIT_MOST_MS).contains(ms))
-            .ok_or("d is no number of milliseconds")?,
+        wait_ms: number(wait).filter(|ms| *ms <= WAIT_MOST_MS).ok_or("d is no number of milliseconds")?,
         wait_at,
         group: number(group.ok_or("the comment has no cluster")?).ok_or("cluster is not a number")?,
         after_ms,
--- a/crates/records/src/recorder.rs
+++ b/crates/records/src/recorder.rs
@@ -2,6 +2,7 @@
 
 use crate::record::{Micros, Record};
 use crate::store::{Limits, Note, Store};
+use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
@@ -9,7 +10,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Records of one flush at most.
+/// Records that are handed over together at most, and the time after which fewer are.
+const GATHER: usize = 64;
+const HAND_OVER: Micros = 100_000;
+/// Records of one flush at most, give or take a hand-over.
 const BATCH: usize = 8192;
 /// The pause between tries where the store cannot be opened or written.
 const RETRY: Duration = Duration::from_secs(1);
@@ -35,9 +39,10 @@
     pub limits: Limits,
 }
 
+/// What the serving thread hands over: records, and the time up to which these are all.
 enum Message {
-    Record(Micros, Record),
-    End(Micros),
+    Records(Vec<(Micros, Record)>, Micros),
+    End(Vec<(Micros, Record)>, Micros),
 }
 
 #[derive(Default)]
@@ -48,8 +53,12 @@
 }
 
 /// Takes records without ever waiting; dropping it flushes what waits and ends the run.
+///
+/// Records are handed over a few at a time: each hand-over wakes the thread, which would cost more than the record.
 pub struct Recorder {
     queue: SyncSender<Message>,
+    gathered: RefCell<Vec<(Micros, Record)>>,
+    handed_at: Cell<Micros>,
     counts: Arc<Counts>,
     now: Box<dyn Fn() -> Micros>,
     writer: Option<JoinHandle<()>>,
@@ -63,20 +72,36 @@
         now: impl Fn() -> Micros + Clone + Send + 'static,
         tell: impl Fn(&str) + Send + 'static,
     ) -> std::io::Result<Recorder> {
-        let (queue, received) = sync_channel(terms.queue);
+        let (queue, received) = sync_channel((terms.queue / GATHER).max(4));
         let counts = Arc::new(Counts::default());
         let (shared, clock) = (Arc::clone(&counts), now.clone());
         let work =
             move || Writer { terms, received, counts: shared, store: None, lost: None, tell }.run(&clock);
         let writer = std::thread::Builder::new().name("records".to_string()).spawn(work)?;
-        Ok(Recorder { queue, counts, now: Box::new(now), writer: Some(writer) })
+        let (gathered, handed_at) = (RefCell::default(), Cell::new(now()));
+        Ok(Recorder { queue, gathered, handed_at, counts, now: Box::new(now), writer: Some(writer) })
     }
 
     /// Notes something that happened now.
     pub fn note(&self, record: Record) {
         let at = (self.now)();
-        if self.queue.try_send(Message::Record(at, record)).is_err() {
-            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        let mut gathered = self.gathered.borrow_mut();
+        gathered.push((at, record));
+        let full = gathered.len() >= GATHER;
+        drop(gathered);
+        if full || at - self.handed_at.get() >= HAND_OVER {
+            self.hand_over();
+        }
+    }
+
+    /// Hands over what was gathered; to be called now and then, so that little is lost when the process is killed.
+    pub fn hand_over(&self) {
+        let at = (self.now)();
+        self.handed_at.set(at);
+        let records = self.gathered.take();
+        let count = records.len() as u64;
+        if self.queue.try_send(Message::Records(records, at)).is_err() {
+            self.counts.dropped.fetch_add(count, Ordering::Relaxed);
         }
     }
 
@@ -89,11 +114,13 @@
 impl Drop for Recorder {
     fn drop(&mut self) {
         let until = Instant::now() + LAST_FLUSH;
-        while matches!(self.queue.try_send(Message::End((self.now)())), Err(TrySendError::Full(_))) {
+        let mut end = Message::End(self.gathered.take(), (self.now)());
+        while let Err(TrySendError::Full(back)) = self.queue.try_send(end) {
             if Instant::now() >= until {
                 return;
             }
             std::thread::sleep(POLL);
+            end = back;
         }
         // The thread is left to itself where the disk hangs: the process must be able to end.
         while self.writer.as_ref().is_some_and(|writer| !writer.is_finished()) && Instant::now() < until {
@@ -115,25 +142,33 @@
 impl<T: Fn(&str)> Writer<T> {
     fn run(mut self, now: &dyn Fn() -> Micros) {
         let mut batch: Vec<(Micros, Record)> = Vec::new();
+        let mut handed = now();
         let (mut retry_at, mut retire_at) = (Instant::now(), Instant::now() + RETIRE_EVERY);
         loop {
             let flush_at = Instant::now() + self.terms.flush;
             let mut end = None;
             while batch.len() < BATCH && end.is_none() {
                 match self.received.recv_timeout(flush_at.saturating_duration_since(Instant::now())) {
-                    Ok(Message::Record(at, record)) => batch.push((at, record)),
-                    Ok(Message::End(at)) => end = Some(at),
+                    Ok(Message::Records(records, at)) => {
+                        batch.extend(records);
+                        handed = at;
+                    }
+                    Ok(Message::End(records, at)) => {
+                        batch.extend(records);
+                        (handed, end) = (at, Some(at));
+                    }
                     Err(RecvTimeoutError::Timeout) => break,
                     Err(RecvTimeoutError::Disconnected) => end = Some(now()),
                 }
             }
             let dropped = self.counts.dropped.swap(0, Ordering::Relaxed);
-            self.lose(dropped, now() - self.terms.flush.as_micros() as Micros);
+            self.lose(dropped, now() - self.terms.flush.as_micros() as Micros - HAND_OVER);
             if self.store.is_none() && (Instant::now() >= retry_at || end.is_some()) {
                 self.open(now());
                 retry_at = Instant::now() + RETRY;
             }
-            self.flush(&mut batch, now());
+            // The run is known up to the last hand-over: what was gathered since dies with the process.
+            self.flush(&mut batch, handed);
             if let Some(at) = end {
                 let _ = self.store.as_mut().map(|store| store.end(at));
                 return;
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -177,8 +177,10 @@
                         Some(ask(query, &comment, ticket, Rc::clone(&c.lane)))
                     }
                     Err(what) => {
-                        c.lane.end("malformed_request", Some(Violation { code: "08P01", what }));
-                        break;
+                        c.begun = None;
+                        self.count(&c.peer);
+                        c.lane.pipeline.borrow_mut().ask_wrongly(what);
+                        continue;
                     }
                 },
                 Err(violation) => {
--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -9,6 +9,7 @@
 use wharfplank::lab::load::Seen;
 use wharfplank::lab::run::{play, within, Place, Ran};
 use wharfplank::lab::timeline::{self, Timeline};
+use wharfplank::lab::trials;
 use wharfplank::records::Micros;
 use wharfplank::report::Facts;
 
@@ -27,7 +28,7 @@
     timeline::parse(&text).map_err(Stop::settings)
 }
 
-fn played(timeline: &Timeline, directory: &Path, records: bool) -> Result<Ran, Stop> {
+fn played(timeline: &Timeline, directory: &Path, records: fn(usize) -> bool) -> Result<Ran, Stop> {
     std::fs::create_dir_all(directory).map_err(|e| Stop::failed(format!("{}: {e}", directory.display())))?;
     let program = std::env::current_exe().map_err(Stop::failed)?;
     let directory = directory.canonicalize().map_err(Stop::failed)?;
@@ -81,7 +82,7 @@
         timeline.rate,
         timeline.seconds
     );
-    let ran = played(&timeline, directory, true)?;
+    let ran = played(&timeline, directory, |_| true)?;
     table(&ran);
     let served: usize = (0..CLASSES.len()).map(|i| ran.load.count(i, Seen::Served)).sum();
     let all = ran.load.done.borrow().len();
@@ -98,7 +99,7 @@
 /// Plays a timeline, writes the report, and holds it against the script and what the load counted.
 pub fn incident(path: Option<&Path>, directory: &Path) -> Result<(), Stop> {
     let timeline = timeline(path, timeline::INCIDENT)?;
-    let ran = played(&timeline, directory, true)?;
+    let ran = played(&timeline, directory, |_| true)?;
     table(&ran);
     let stores = [wharfplank::lab::run::records(directory)];
     let facts = super::records::facts(&stores, &Span::default())?;
@@ -234,3 +235,73 @@
 pub fn place(directory: Option<PathBuf>, name: &str) -> PathBuf {
     directory.unwrap_or_else(|| PathBuf::from("target").join(name))
 }
+
+/// One proxy records and one does not, side by side under the same load.
+pub fn recording(directory: &Path) -> Result<(), Stop> {
+    let mut timeline = timeline(None, timeline::DEMO)?;
+    (timeline.rate, timeline.seconds) = (1200, 20);
+    let ran = played(&timeline, directory, |number| number == 0)?;
+    let done = ran.load.done.borrow();
+    let mut each = Vec::new();
+    for (number, name) in ["recording", "not recording"].iter().enumerate() {
+        let own: Vec<_> = done.iter().filter(|d| d.proxy == number).collect();
+        let served = own.iter().filter(|d| d.seen == Seen::Served).count();
+        let (cpu, memory) =
+            ran.used.get(number).copied().ok_or_else(|| Stop::failed("the system tells no CPU time"))?;
+        let micros = cpu * 1e6 / own.len().max(1) as f64;
+        println!(
+            "{name:<14} {served} of {} served, {micros:.0} us of CPU a request, {memory:.1} MB",
+            own.len()
+        );
+        each.push(micros);
+    }
+    println!("recording takes {:+.1}% of CPU", (each[0] / each[1] - 1.0) * 100.0);
+    Ok(())
+}
+
+/// A day of records of three proxies, and what its report takes.
+pub fn day(directory: &Path, seconds: u32) -> Result<(), Stop> {
+    std::fs::create_dir_all(directory).map_err(Stop::failed)?;
+    for old in std::fs::read_dir(directory).map_err(Stop::failed)?.flatten() {
+        if old.path().to_string_lossy().contains(".wharfplank") {
+            std::fs::remove_file(old.path()).map_err(Stop::failed)?;
+        }
+    }
+    let written = trials::synthetic(directory, i64::from(seconds), 3, 320, 7).map_err(Stop::failed)?;
+    let bytes: u64 = std::fs::read_dir(directory)
+        .map_err(Stop::failed)?
+        .flatten()
+        .filter_map(|e| Some(e.metadata().ok()?.len()))
+        .sum();
+    println!("{written} answers of 3 proxies in {seconds} s: {:.0} MB of store", bytes as f64 / 1e6);
+    let start = std::time::Instant::now();
+    super::records::report(
+        &[directory.to_path_buf()],
+        &Span::default(),
+        Some(&directory.join("report.html")),
+        None,
+    )?;
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap_or(" not told").trim();
+    println!(
+        "the report took {:.1} s; the most memory of this process was {peak}",
+        start.elapsed().as_secs_f64()
+    );
+    Ok(())
+}
+
+/// Kills a recording process again and again.
+pub fn kills(directory: &Path, times: u64) -> Result<(), Stop> {
+    let _ = std::fs::remove_dir_all(directory);
+    std::fs::create_dir_all(directory).map_err(Stop::failed)?;
+    let program = std::env::current_exe().map_err(Stop::failed)?;
+    let seen = trials::kills(&program, directory, times, 7).map_err(Stop::failed)?;
+    println!(
+        "{} kills: {} records acknowledged, {} of them found, {} stores damaged",
+        seen.kills, seen.acknowledged, seen.found, seen.damaged
+    );
+    match seen.found == seen.acknowledged && seen.damaged == 0 {
+        true => Ok(()),
+        false => Err(Stop::failed("a record that was acknowledged is gone, or a store is damaged")),
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -65,6 +65,13 @@
         #[arg(required = true)]
         paths: Vec<PathBuf>,
     },
+    /// Watch records in the terminal, live beside running proxies and backwards.
+    #[command(after_help = "Example: wharfplank console /var/lib/wharfplank")]
+    Console {
+        /// Directories with stores, or stores.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+    },
     /// Write an incident report from records, also of several proxies and beside running ones.
     #[command(
         after_help = "Example: wharfplank report /var/lib/wharfplank -o report.html --json report.json --last 3600"
@@ -101,6 +108,36 @@
         #[arg(short, long, value_name = "DIR")]
         out: Option<PathBuf>,
     },
+    /// Compare a proxy that records with one that does not, side by side.
+    Recording {
+        /// Where logs and records go [default: target/recording].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
+    /// Write the records of a synthetic day of three proxies, and report on it.
+    Day {
+        /// Where the stores go [default: target/day].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+        /// The length of the day in seconds.
+        #[arg(long, default_value_t = 86_400)]
+        seconds: u32,
+    },
+    /// Kill a recording process at random moments, and look for what it had said was flushed.
+    Kills {
+        /// Where the store goes [default: target/kills].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+        /// How many times.
+        #[arg(long, default_value_t = 200)]
+        times: u64,
+    },
+    /// What `kills` starts.
+    #[command(hide = true)]
+    RecordUntilKilled {
+        /// The directory of the store.
+        directory: PathBuf,
+    },
     /// Play a scripted incident, write its report, and hold the report against the script.
     #[command(
         after_help = "Example: wharfplank lab incident crates/lab/timelines/incident.xml -o target/incident"
@@ -134,10 +171,17 @@
         Some(Command::Serve { settings }) => serving(settings),
         Some(Command::Check { settings, config, schema }) => check(settings, config, schema),
         Some(Command::Records { paths }) => records::records(&paths),
+        Some(Command::Console { paths }) => wharfplank::console::run(&paths).map_err(Stop::failed),
         Some(Command::Report { paths, out, json, span }) => {
             records::report(&paths, &span, out.as_deref(), json.as_deref())
         }
         Some(Command::Lab(Lab::Demo { out })) => lab::demo(&lab::place(out, "demo")),
+        Some(Command::Lab(Lab::Recording { out })) => lab::recording(&lab::place(out, "recording")),
+        Some(Command::Lab(Lab::Day { out, seconds })) => lab::day(&lab::place(out, "day"), seconds),
+        Some(Command::Lab(Lab::Kills { out, times })) => lab::kills(&lab::place(out, "kills"), times),
+        Some(Command::Lab(Lab::RecordUntilKilled { directory })) => {
+            wharfplank::lab::trials::record_until_killed(&directory).map_err(Stop::failed)
+        }
         Some(Command::Lab(Lab::Incident { timeline, out })) => {
             lab::incident(timeline.as_deref(), &lab::place(out, "incident"))
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `transport`, `transport` on `membership`, `protocol` and `routing`; `membership` takes its words for a list from
 //! `protocol`, and those two depend on nothing else. `docs/architecture.md` follows a request through them.
 
+pub use wharfplank_console as console;
 pub use wharfplank_incidents as incidents;
 pub use wharfplank_lab as lab;
 pub use wharfplank_membership as membership;
