Show answers by class over time and members' load; tell slow members from chance

The console and the report showed answers by class as sums only, and no load of members.

A bin holds its answers by class; the report draws one picture for each, the console follows its class filter, and members show the requests in flight. Slow apply needs more than half of the replicas known, and those more than half of all; a slow member must be so for 6 s.

--- a/crates/console/src/screen.rs
+++ b/crates/console/src/screen.rs
@@ -75,7 +75,7 @@
 fn draw_members(frame: &mut Frame<'_>, area: Rect, state: &State, facts: &Facts) {
     let of = |m: &&MemberFacts| state.group.is_none_or(|g| m.group == g);
     let all: Vec<&MemberFacts> = facts.members.iter().filter(of).collect();
-    let width = usize::from(area.width).saturating_sub(50).clamp(8, 120);
+    let width = usize::from(area.width).saturating_sub(55).clamp(8, 120);
     let top = all.iter().flat_map(|m| m.behind_ms.iter().flatten()).max().copied().unwrap_or(0).max(1000);
     let rows = all.iter().skip(state.scroll).map(|m| {
         let role = match last(&m.primary) {
@@ -91,7 +91,16 @@
         let suspected = m.suspected.last().copied().unwrap_or(0);
         let doubt = if suspected > 0 { format!("by {suspected}") } else { "-".to_string() };
         let zone = m.zone.clone().unwrap_or_else(|| "?".to_string());
-        Row::new([m.name.clone(), zone, role.to_string(), behind, doubt, chart(&m.behind_ms, width, top)])
+        let load = last(&m.in_flight).map_or("?".to_string(), |(n, _)| n.to_string());
+        Row::new([
+            m.name.clone(),
+            zone,
+            role.to_string(),
+            behind,
+            doubt,
+            load,
+            chart(&m.behind_ms, width, top),
+        ])
     });
     let columns = [
         Constraint::Length(10),
@@ -99,9 +108,10 @@
         Constraint::Length(9),
         Constraint::Length(10),
         Constraint::Length(5),
+        Constraint::Length(4),
         Constraint::Min(8),
     ];
-    let head = Row::new(["member", "zone", "role", "behind", "susp.", "behind over time, · not known"]);
+    let head = Row::new(["member", "zone", "role", "behind", "susp.", "load", "behind, · unknown"]);
     let name = format!(" Members {}-{} of {} ", (state.scroll + 1).min(all.len()), all.len(), all.len());
     let block = Block::new().borders(Borders::ALL).title(name);
     let table = Table::new(rows, columns).header(head.style(Style::new().add_modifier(Modifier::BOLD)));
@@ -114,9 +124,10 @@
     let known = |of: &dyn Fn(&wharfplank_report::facts::BinFacts) -> u64| -> Vec<Option<i64>> {
         facts.series.iter().map(|b| (b.proxies == all && all > 0).then(|| of(b) as i64)).collect()
     };
-    let served = known(&|b| b.served);
-    let late = known(&|b| b.late);
-    let lost = known(&|b| b.lost.values().sum());
+    let class = state.class.as_deref();
+    let served = known(&|b| b.of(class).0);
+    let late = known(&|b| b.of(class).1);
+    let lost = known(&|b| b.of(class).2);
     let top = |values: &[Option<i64>]| values.iter().flatten().max().copied().unwrap_or(1).max(1);
     let mut lines: Vec<Line<'_>> = [("in time", &served), ("late", &late), ("lost", &lost)]
         .iter()
--- a/crates/incidents/src/evidence.rs
+++ b/crates/incidents/src/evidence.rs
@@ -24,6 +24,8 @@
     pub heard: Micros,
     /// Whether it was suspected.
     pub suspected: bool,
+    /// The proxy's requests in flight there.
+    pub in_flight: u32,
 }
 
 /// Answers of one kind in one bin.
--- a/crates/incidents/src/find.rs
+++ b/crates/incidents/src/find.rs
@@ -16,7 +16,7 @@
 /// A replica that gained less than this part of the time that passed applies slowly; measured over at least so long.
 const SLOW_RATE: f64 = 0.6;
 const RATE_SPAN: Micros = 2 * SECOND;
-/// The part of the replicas that applies slowly at a time, and how many at least, that make it one event. A single
+/// More than this part of the replicas applies slowly at a time, and how many at least, that make it one event. A single
 /// one that stands still most likely holds a long read.
 const MOST: f64 = 0.5;
 const LEAST: usize = 2;
@@ -32,6 +32,8 @@
 /// Breaks up to this long do not end an incident; what is shorter than `SHORTEST` is none.
 const BRIDGE: Micros = 5 * SECOND;
 const SHORTEST: Micros = 3 * SECOND;
+/// Single answers vary: a member that is slow for less than this is not told from chance.
+const SLOW_SHORTEST: Micros = 6 * SECOND;
 /// A knowledge of a member this old is none.
 const HEARD: Micros = 4 * SECOND;
 /// Proxies that restart within this time of each other do so in a wave.
@@ -270,8 +272,9 @@
                 }
             }
         }
-        if known > 0 {
-            series.insert(bin, slow.len() >= LEAST && slow.len() as f64 >= known as f64 * MOST);
+        // What a few tell says nothing of most.
+        if known * 2 > rates.len() {
+            series.insert(bin, slow.len() >= LEAST && slow.len() as f64 > known as f64 * MOST);
             slow_at.insert(bin, slow);
         }
     }
@@ -357,7 +360,7 @@
             let middle = others.get(others.len() / 2).copied().unwrap_or(1.0).max(0.5);
             series.insert(bin, own >= SLOW_ANSWERS * middle.max(1.0) && !crowded(bin));
         }
-        for run in runs(evidence, &series) {
+        for run in runs(evidence, &series).into_iter().filter(|(from, to, _)| to - from >= SLOW_SHORTEST) {
             all.push(incident(evidence, Kind::SlowMember, member, run, vec![member.to_string()]));
         }
     }
--- a/crates/incidents/src/gather.rs
+++ b/crates/incidents/src/gather.rs
@@ -119,6 +119,7 @@
                     position: seen.position,
                     heard: seen.heard,
                     suspected: seen.suspected.is_some(),
+                    in_flight: seen.in_flight,
                 };
                 let states = tally.states.entry(seen.member).or_default();
                 // One state a bin is enough for a long span; the last of it stands.
--- a/crates/report/src/facts.rs
+++ b/crates/report/src/facts.rs
@@ -121,6 +121,8 @@
     pub primary: Vec<Option<bool>>,
     /// By bin: how many proxies suspected it.
     pub suspected: Vec<u32>,
+    /// By bin: requests of all proxies in flight there, as last seen of each; absent where no proxy tells.
+    pub in_flight: Vec<Option<u32>>,
 }
 
 /// One bin.
@@ -136,6 +138,18 @@
     pub late: u64,
     /// Refused and failed ones, by reason.
     pub lost: BTreeMap<String, u64>,
+    /// The same by class: within the aim, later, refused or failed.
+    pub classes: BTreeMap<String, (u64, u64, u64)>,
+}
+
+impl BinFacts {
+    /// Answers within the aim, later ones, and refused or failed ones, of one class or of all.
+    pub fn of(&self, class: Option<&str>) -> (u64, u64, u64) {
+        match class {
+            Some(class) => self.classes.get(class).copied().unwrap_or_default(),
+            None => (self.served, self.late, self.lost.values().sum()),
+        }
+    }
 }
 
 impl Facts {
@@ -158,6 +172,12 @@
                     of.took += count.took;
                 }
                 let at = bins.entry(*bin).or_default();
+                let of = at.classes.entry(class.clone()).or_default();
+                match outcome {
+                    Outcome::Served => of.0 += count.count,
+                    Outcome::Late => of.1 += count.count,
+                    _ => of.2 += count.count,
+                }
                 match outcome {
                     Outcome::Served => at.served += count.count,
                     Outcome::Late => at.late += count.count,
@@ -274,6 +294,7 @@
         let mut behind: Vec<Option<(Micros, i64)>> = vec![None; bins.len()];
         let mut leads: Vec<(u32, u32)> = vec![(0, 0); bins.len()];
         let mut suspected = vec![0; bins.len()];
+        let mut in_flight: Vec<Option<u32>> = vec![None; bins.len()];
         let mut group = 0;
         for state in evidence.proxies.values().filter_map(|p| p.states.get(&name)).flatten() {
             group = state.group;
@@ -283,6 +304,7 @@
             };
             leads[i] = (leads[i].0 + 1, leads[i].1 + u32::from(state.primary));
             suspected[i] += u32::from(state.suspected);
+            in_flight[i] = Some(in_flight[i].unwrap_or(0) + state.in_flight);
             if state.heard > 0 && state.at - state.heard <= HEARD {
                 let newest = behind[i].is_none_or(|(heard, _)| state.heard > heard);
                 if newest {
@@ -297,6 +319,7 @@
             behind_ms: behind.into_iter().map(|b| b.map(|(_, ms)| ms.max(0))).collect(),
             primary: leads.into_iter().map(|(n, yes)| (n > 0).then_some(yes * 2 > n)).collect(),
             suspected,
+            in_flight,
         });
     }
     all
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -55,6 +55,10 @@
             }
         })
         .collect();
+    let mut by_class = Vec::new();
+    for class in facts.classes.keys() {
+        by_class.push(context! { class, plot => plot::answers(facts, Some(class))? });
+    }
     let mut reasons = Vec::new();
     for (class, answers) in &facts.classes {
         let names: BTreeSet<&String> = answers.refused.keys().chain(answers.failed.keys()).collect();
@@ -97,8 +101,8 @@
     let page = environment.get_template("report.html")?.render(context! {
         facts => context! { summary => &facts.summary, problems => &facts.problems, stale_count => facts.stale_count },
         start => utc(facts.from), end => utc(facts.to), bin => facts.bin / 1_000_000,
-        timeline => plot::timeline(facts)?, answers => plot::answers(facts)?,
-        incidents, classes, reasons, groups, stale, gaps,
+        timeline => plot::timeline(facts)?, answers => plot::answers(facts, None)?,
+        incidents, classes, by_class, reasons, groups, stale, gaps,
     })?;
     Ok(page)
 }
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -116,8 +116,9 @@
     gaps.map(|g| (facts.second(g.from), facts.second(g.to))).collect()
 }
 
-/// Answers by second: in time, late, refused or failed. A bin that not all proxies cover is a break.
-pub fn answers(facts: &Facts) -> Result<String, Fault> {
+/// Answers by second, of one class or of all: in time, late, refused or failed. A bin that not all proxies cover is a
+/// break.
+pub fn answers(facts: &Facts, class: Option<&str>) -> Result<String, Fault> {
     let all = facts.proxies.len();
     let per = 1e6 / facts.bin as f64;
     let line = |name: &str, of: &dyn Fn(&crate::facts::BinFacts) -> u64| Line {
@@ -128,9 +129,9 @@
         })),
     };
     let lines = [
-        line("in time", &|b| b.served),
-        line("late", &|b| b.late),
-        line("refused, failed", &|b| b.lost.values().sum()),
+        line("in time", &|b| b.of(class).0),
+        line("late", &|b| b.of(class).1),
+        line("refused, failed", &|b| b.of(class).2),
     ];
     chart(facts, "answers/s", &lines, &gaps(facts))
 }
