Drop a table that nothing reads; take dates from a library

Read once more: each state of a member was also written to a table of states by window, an upsert for every member and second, and no reader ever asked for it. It is gone, with its retirement; states are in the blocks as before. The date in the report was worked out by hand, while the time crate was in Cargo.lock already, under the log's writer: the report calls that now.

--- a/crates/records/src/store.rs
+++ b/crates/records/src/store.rs
@@ -56,10 +56,6 @@
     CREATE TABLE sums (run INTEGER NOT NULL, window INTEGER NOT NULL, class INTEGER NOT NULL, outcome INTEGER NOT NULL,
         count INTEGER NOT NULL, attempts INTEGER NOT NULL, took INTEGER NOT NULL, most INTEGER NOT NULL,
         PRIMARY KEY (run, window, class, outcome)) WITHOUT ROWID;
-    CREATE TABLE members (run INTEGER NOT NULL, window INTEGER NOT NULL, member INTEGER NOT NULL, grp INTEGER NOT NULL,
-        seen INTEGER NOT NULL, primary_role INTEGER NOT NULL, active INTEGER NOT NULL, suspected INTEGER NOT NULL,
-        stale_most INTEGER NOT NULL, stale_least INTEGER NOT NULL, slowness INTEGER NOT NULL,
-        PRIMARY KEY (run, window, member)) WITHOUT ROWID;
 ";
 
 /// The code of an outcome in the store: 0 served, 1 late, 100 and more refused, 200 and more failed.
@@ -149,7 +145,7 @@
             file.execute_batch(&made)?;
         }
         // Reads one row of each table: damage there shows now and not in the midst of a day.
-        for table in ["runs", "blocks", "names", "sums", "members"] {
+        for table in ["runs", "blocks", "names", "sums"] {
             file.query_row(&format!("SELECT 1 FROM {table} LIMIT 1"), [], |_| Ok(())).optional()?;
         }
         Ok(file)
@@ -179,28 +175,6 @@
                     let sum = sums.entry((window, *class, code(*outcome))).or_default();
                     *sum = (sum.0 + 1, sum.1 + u64::from(*attempts), sum.2 + took, sum.3.max(*took));
                 }
-                Record::Seen(seen) => {
-                    let stale = if seen.position > 0 { at - seen.position } else { -1 };
-                    work.prepare_cached(
-                        "INSERT INTO members VALUES (?1, ?2, ?3, ?4, 1, ?5, ?6, ?7, ?8, ?8, ?9)
-                         ON CONFLICT DO UPDATE SET seen = seen + 1, primary_role = excluded.primary_role,
-                             active = excluded.active, suspected = max(suspected, excluded.suspected),
-                             stale_most = max(stale_most, excluded.stale_most),
-                             stale_least = min(stale_least, excluded.stale_least),
-                             slowness = max(slowness, excluded.slowness)",
-                    )?
-                    .execute(params![
-                        run,
-                        window,
-                        seen.member,
-                        seen.group as i64,
-                        seen.primary,
-                        seen.active,
-                        seen.suspected.is_some(),
-                        stale,
-                        seen.slowness
-                    ])?;
-                }
                 Record::Class { class, name, aim } => {
                     work.prepare_cached("INSERT OR REPLACE INTO names VALUES (?1, 'class', ?2, ?3, ?4)")?
                         .execute(params![run, class, name, aim.to_string()])?;
@@ -250,7 +224,6 @@
         )?;
         let sums = now - self.limits.sums;
         self.file.execute("DELETE FROM sums WHERE window < ?1", [sums])?;
-        self.file.execute("DELETE FROM members WHERE window < ?1", [sums])?;
         self.file
             .execute("DELETE FROM names WHERE run IN (SELECT run FROM runs WHERE alive < ?1)", [sums])?;
         self.file.execute("DELETE FROM runs WHERE alive < ?1 AND run != ?2", params![sums, self.run])?;
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -4,25 +4,18 @@
 use crate::plot;
 use minijinja::{context, Environment};
 use std::collections::{BTreeMap, BTreeSet};
+use time::OffsetDateTime;
 
 /// Stale reads that the file lists; the JSON form has more.
 const STALE_MOST: usize = 200;
 
 /// Unix time in µs as a date and a time of day in UTC.
 pub fn utc(at: i64) -> String {
-    let (days, of_day) = (at.div_euclid(86_400_000_000), at.rem_euclid(86_400_000_000) / 1000);
-    // Days since 1970 as a date: Howard Hinnant's 'civil_from_days'.
-    let z = days + 719_468;
-    let era = z.div_euclid(146_097);
-    let day_of_era = z.rem_euclid(146_097);
-    let year_of_era = (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let shifted = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * shifted + 2) / 5 + 1;
-    let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
-    let year = year_of_era + era * 400 + i64::from(month <= 2);
-    let (s, ms) = (of_day / 1000, of_day % 1000);
-    format!("{year}-{month:02}-{day:02} {:02}:{:02}:{:02}.{ms:03}", s / 3600, s / 60 % 60, s % 60)
+    let Ok(at) = OffsetDateTime::from_unix_timestamp_nanos(i128::from(at) * 1000) else {
+        return format!("{at} us of Unix time");
+    };
+    let (day, ms) = (at.date(), at.millisecond());
+    format!("{day} {:02}:{:02}:{:02}.{ms:03}", at.hour(), at.minute(), at.second())
 }
 
 /// The file's text.
