Keep connections ready only to members that the proxy uses often enough

At fault: SPARE in crates/transport/src/members.rs (top_up).

How many stand by is decided in a crate without I/O (standby) from the uses of the member in the last seconds, and a proxy that starts knocks at one member of its own choice.

The module is unchanged.

--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -24,6 +24,7 @@
     self as routing, Action, AttemptNo, ClassId, Ending, Entry, GroupId, HostId, Listed, Micros, Outcome,
     Probed, Request, RequestId, Role, Router, SessionKey,
 };
+use wharfplank_standby::Opening;
 use wharfplank_transport::client::Lane;
 use wharfplank_transport::clients::Clients;
 use wharfplank_transport::discovery::Watch;
@@ -96,6 +97,7 @@
     started: Micros,
     told: bool,
     ready: bool,
+    opening: Opening,
     tend_at: Micros,
     leaving_at: Option<Micros>,
     closed: bool,
@@ -135,6 +137,7 @@
             started: now,
             told: false,
             ready: false,
+            opening: Opening::new(config.settings.seed, config.terms.connect_timeout),
             tend_at: now + TEND,
             leaving_at: None,
             closed: false,
@@ -199,6 +202,9 @@
             let age = now - self.started;
             let told = self.told || age >= DISCOVERY_WAIT;
             let warm = self.members.values().any(|m| m.warm()) || age >= READY_WAIT;
+            let wanted = self.members.iter().filter(|(_, m)| !warm && m.wanted()).map(|(host, _)| *host);
+            let knock = self.opening.next(now, wanted);
+            knock.and_then(|host| self.members.get(&host)).into_iter().for_each(|m| m.knock());
             if told && warm && !self.members.is_empty() {
                 self.ready = true;
                 self.clients.ready();
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -18,7 +18,7 @@
 use wharfplank_settings::Settings;
 use wharfplank_transport::clients::Clients;
 use wharfplank_transport::discovery::Watch;
-use wharfplank_transport::{members, signals, Ends, Memory};
+use wharfplank_transport::{members, signals, Ends, Memory, Now};
 
 /// Events that may wait for the broker; past that connections wait.
 const EVENTS: usize = 1024;
@@ -38,6 +38,8 @@
     log::started(listener.get_ref().local_addr().unwrap_or(config.listen));
     let ends: Ends = Rc::new(log::ended);
 
+    let clock = Clock::start();
+    let now: Now = Rc::new(move || clock.now());
     let sockets = config.sockets.saturating_sub(RESERVED).max(8);
     let to_clients = sockets * 6 / 10;
     let shared = Rc::new(members::Shared {
@@ -50,6 +52,7 @@
         open: Cell::new(0),
         memory: Memory::new(config.memory / LARGE_PART),
         check_after: Cell::new(members::CHECK_AFTER),
+        now: Rc::clone(&now),
     });
     let clients = Clients::new(
         Rc::clone(&executor),
@@ -58,9 +61,7 @@
         to_clients,
         Memory::new(config.memory / LARGE_PART),
     );
-    let clock = Clock::start();
     let desk = Desk::new(Pace::new(config.terms.stop_within), &config.known, clock.now());
-    let now = Rc::new(move || clock.now());
     let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, now, desk, config.discovery);
     let journal = journal::Journal::start(settings.records.as_ref(), &config, clock)?;
     let broker =
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch on discovery: carries out the calls that `membership` asks for, on one connection after the other, and
 //! a second one beside a call that may hang.
 
-use super::{within, Ended, Ends, Event};
+use super::{within, Ended, Ends, Event, Now};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -16,9 +16,6 @@
 use wharfplank_protocol::http;
 use wharfplank_routing::Micros;
 
-/// The caller's clock.
-pub type Now = Rc<dyn Fn() -> Micros>;
-
 /// The watch on one address at a time.
 pub struct Watch {
     parts: Parts,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,7 +18,7 @@
 use wharfplank_protocol::buffer::MODEST;
 use wharfplank_protocol::comment;
 use wharfplank_protocol::pipeline::Ticket;
-use wharfplank_routing::{HostId, RequestId};
+use wharfplank_routing::{HostId, Micros, RequestId};
 
 /// A client's statement: kept once, and shared by all attempts of its request.
 #[derive(Debug)]
@@ -112,6 +112,9 @@
     pub since: Instant,
 }
 
+/// The caller's clock.
+pub type Now = Rc<dyn Fn() -> Micros>;
+
 /// Where ended connections are noted.
 pub type Ends = Rc<dyn Fn(&Ended<'_>)>;
 
--- a/crates/transport/src/members.rs
+++ b/crates/transport/src/members.rs
@@ -1,7 +1,7 @@
 //! Connections to members: a pool for each, attempts and probes on them.
 //!
 //! A connection carries one query at a time. An attempt takes an idle one or waits for one; openers
-//! run apart from the attempts and keep a few spare, so that a send seldom waits for a handshake.
+//! run apart from the attempts, and keep as many spare as `standby` finds that the member's use is worth.
 
 use super::{within, Ended, Ends, Memory, Part, Statement};
 use async_channel::{bounded, Sender};
@@ -15,9 +15,9 @@
 use std::time::{Duration, Instant};
 use wharfplank_protocol::client::{self, Answer, Broken, Client, Verdict};
 use wharfplank_routing::Ending;
+use wharfplank_standby::Demand;
 
-/// Idle connections that a member in use is kept ready with, and the most that open at one time.
-const SPARE: usize = 2;
+/// The most connections to a member that open at one time.
 const OPENING_MOST: usize = 6;
 /// After a failure no spare connection is opened for so long: attempts show whether it works again.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -82,6 +82,8 @@
     pub memory: Rc<Memory>,
     /// See [`CHECK_AFTER`].
     pub check_after: Cell<Duration>,
+    /// The caller's clock.
+    pub now: super::Now,
 }
 
 impl Shared {
@@ -114,6 +116,7 @@
     open: Cell<usize>,
     heard: Cell<Instant>,
     pause_until: Cell<Option<Instant>>,
+    demand: Cell<Demand>,
 }
 
 struct Connection {
@@ -222,6 +225,7 @@
             open: Cell::new(0),
             heard: Cell::new(Instant::now()),
             pause_until: Cell::new(None),
+            demand: Cell::default(),
         })
     }
 
@@ -256,6 +260,13 @@
         self.open.get() == 0 && self.opening.get() == 0
     }
 
+    /// Connects to it, so that it is seen whether it can be reached.
+    pub fn knock(self: &Rc<Self>) {
+        if self.wanted.get() && self.unused() {
+            self.open_one();
+        }
+    }
+
     /// Keeps connections ready to a member that takes work, and closes idle ones of another.
     pub fn want(self: &Rc<Self>, wanted: bool, address: Option<SocketAddr>) {
         if let Some(address) = address.filter(|a| *a != self.address.get()) {
@@ -303,7 +314,8 @@
     fn top_up(self: &Rc<Self>) {
         let now = Instant::now();
         let paused = self.pause_until.get().is_some_and(|until| now < until);
-        let spare = if paused || !self.wanted.get() { 0 } else { SPARE };
+        let spares = self.demand.get().spares((self.shared.now)());
+        let spare = if paused || !self.wanted.get() { 0 } else { spares };
         let waiting = self.waiters.borrow().iter().filter(|w| !w.is_closed()).count();
         let soon = self.idle.borrow().len() + self.resting.get();
         let need = (waiting + spare).saturating_sub(soon).min(OPENING_MOST);
@@ -311,13 +323,17 @@
             && self.open.get() + self.opening.get() < self.shared.most_each
             && self.shared.open.get() < self.shared.most
         {
-            self.opening.set(self.opening.get() + 1);
-            self.shared.open.set(self.shared.open.get() + 1);
-            let member = Rc::clone(self);
-            self.shared.executor.spawn(async move { member.open().await }).detach();
+            self.open_one();
         }
     }
 
+    fn open_one(self: &Rc<Self>) {
+        self.opening.set(self.opening.get() + 1);
+        self.shared.open.set(self.shared.open.get() + 1);
+        let member = Rc::clone(self);
+        self.shared.executor.spawn(async move { member.open().await }).detach();
+    }
+
     /// Opens one connection and hands it on; a failure is told to the attempt that waits longest.
     async fn open(self: Rc<Self>) {
         let (peer, since) = (self.address.get(), Instant::now());
@@ -412,6 +428,9 @@
 
     /// A connection to send on; `None` when none could be had.
     async fn take(self: &Rc<Self>) -> Option<Connection> {
+        let mut demand = self.demand.get();
+        demand.used((self.shared.now)());
+        self.demand.set(demand);
         loop {
             let idle = self.idle.borrow_mut().pop();
             let Some(mut connection) = idle else { break };
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -6,7 +6,9 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -93,6 +95,8 @@
     address: String,
     messages: Receiver<(TcpStream, Vec<u8>)>,
     last: Option<TcpStream>,
+    /// Connections that it was ever reached on.
+    accepted: Arc<AtomicUsize>,
 }
 
 fn whole(stream: &mut TcpStream, until: impl Fn(&[u8]) -> bool) -> Option<Vec<u8>> {
@@ -117,9 +121,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let (sender, messages) = channel();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&accepted);
         thread::spawn(move || {
             let mut held = Vec::new();
             for stream in listener.incoming().flatten() {
+                count.fetch_add(1, Ordering::Relaxed);
                 // Open and silent: no handshake on it is answered.
                 if hold {
                     held.push(stream);
@@ -129,7 +136,7 @@
                 thread::spawn(move || Self::talk(stream, member, stale, &sender));
             }
         });
-        Party { address, messages, last: None }
+        Party { address, messages, last: None, accepted }
     }
 
     fn talk(
@@ -292,6 +299,11 @@
                         let last = party.last.as_mut().expect("it was asked");
                         last.write_all(&plain(&text)).expect("taken");
                     }
+                    "accepted" => {
+                        let most: usize = text.parse().expect("a number");
+                        let accepted = party.accepted.load(Ordering::Relaxed);
+                        assert!(accepted <= most, "{line}: {accepted} connections");
+                    }
                     "closes" => {
                         party.last.take().expect("it was asked").shutdown(Shutdown::Both).expect("open")
                     }
