Spread calls to a discovery that all proxies share, and keep their place in its line

A trace of each call showed that the service answers a new watch each 50 ms, turns calls away in 4 ms while its line is full, and that a watch whose wait of 2 s ends while it stands in line gets 503 and keeps its place only if it is asked again within 200 ms. At fault: Desk::next and Desk::failed (fixed pauses of 1 s, the whole list after any failure, a second call beside each overdue one), which suit an agent that has been sent the list, not one service for all.

Where the settings say that discovery must be asked, the first call is spread by the seed, pauses grow to Rules.AskEveryUs, changes are asked for, a call in line goes on at once, and no second call is made beside one that waits. Elsewhere nothing changes. A hundred desks against such a service in virtual time test it; at the old pace most never come through.

The log counts by the second at level debug, which is what this was found with; the module says what a probe is for, and decides as before.

--- a/crates/membership/src/desk.rs
+++ b/crates/membership/src/desk.rs
@@ -1,6 +1,7 @@
 //! The list that is believed, and the next call.
 
 use super::pace::Pace;
+use fastrand::Rng;
 use std::collections::BTreeMap;
 use wharfplank_protocol::catalog::{Catalog, Health, Host};
 use wharfplank_routing::Micros;
@@ -111,6 +112,9 @@
     held: BTreeMap<String, Host>,
     /// The newest version believed at this address.
     seq: Option<u64>,
+    /// The version of the list as it was known at the start, where a watch may go on from it.
+    known: Option<u64>,
+    random: Rng,
     pending: Option<Pending>,
     /// Members that an answer in doubt took out of use, when that must be kept, believed or not, and the doubt.
     stops: BTreeMap<String, (Micros, Doubt)>,
@@ -119,6 +123,8 @@
     /// Calls that failed since the last answer, and answers that came at once and said nothing.
     failures: u32,
     hurried: u32,
+    /// The last call was a watch that failed only when its wait was over.
+    waiting: bool,
     /// Whether the next call asks for the whole list.
     whole: bool,
     since: Micros,
@@ -132,13 +138,16 @@
             pace,
             held,
             seq: None,
+            known: pace.shared.and(Some(known.seq)).filter(|_| !known.hosts.is_empty()),
+            random: Rng::with_seed(pace.shared.map_or(0, |s| s.seed)),
             pending: None,
             stops: BTreeMap::new(),
             heard_at: None,
             called_at: None,
             failures: 0,
             hurried: 0,
-            whole: true,
+            waiting: false,
+            whole: pace.shared.is_none(),
             since: now,
         }
     }
@@ -146,37 +155,63 @@
     /// Discovery is at another address from now on: the old one's versions mean nothing there. What was in doubt
     /// is asked for anew, and its deadline stands.
     pub fn moved(&mut self, now: Micros) {
-        (self.seq, self.heard_at, self.called_at) = (None, None, None);
+        (self.seq, self.known, self.heard_at, self.called_at) = (None, None, None, None);
         (self.failures, self.hurried, self.whole, self.since) = (0, 0, true, now);
     }
 
     /// The next call.
     pub fn next(&mut self, now: Micros) -> Call {
-        let ask = match self.seq.filter(|_| !self.whole) {
+        let ask = match self.seq.or(self.known).filter(|_| !self.whole) {
             Some(seq) => Ask::Watch { seq },
             None => Ask::Whole,
         };
-        let pause = if self.failures > 0 {
-            (Pace::APART << (self.failures - 1).min(10)).min(Pace::FAILED_APART)
-        } else {
-            (Pace::APART << self.hurried.min(10)).min(Pace::IDLE_APART)
-        };
+        let pause = self.pause();
         let at = match self.called_at {
             // A watch that lasted goes on at once.
             Some(called) if self.failures == 0 && self.hurried == 0 => now.max(called + pause),
             Some(_) => now + pause,
-            None => now,
+            None => now + self.pace.shared.map_or(0, |s| self.random.i64(0..s.first_within())),
         };
         self.called_at = Some(at);
         let wait = if ask == Ask::Whole { 0 } else { self.pace.wait };
         let Pace { connect, answer, beside, .. } = self.pace;
+        // A service that is late is not asked twice at a time; a watch that it granted and that fell silent is.
+        let alone = self.pace.shared.is_some() && (self.failures > 0 || self.heard_at.is_none());
+        let beside = if alone { answer } else { beside };
         Call { ask, wait, at, connect, answer: wait + answer, beside: wait + beside }
     }
 
-    /// A call failed, or its answer could not be read. The list stays, and is asked for as a whole.
-    pub fn failed(&mut self) {
+    /// The pause before the next call.
+    fn pause(&mut self) -> Micros {
+        if self.waiting {
+            return Pace::APART;
+        }
+        if self.failures == 0 {
+            return (Pace::APART << self.hurried.min(10)).min(Pace::IDLE_APART);
+        }
+        match self.pace.shared {
+            None => (Pace::APART << (self.failures - 1).min(10)).min(Pace::FAILED_APART),
+            Some(shared) => {
+                let mean = shared.pause(self.failures);
+                mean / 2 + self.random.i64(0..mean)
+            }
+        }
+    }
+
+    /// A call failed, or its answer could not be read. The list stays, and is asked for as a whole; where the service
+    /// is shared it is asked for what is newer, and as a whole after several failures. A watch that failed there only
+    /// when its wait was over still stands in the service's line: asked again at once it keeps its place, while
+    /// asking anew later goes to the end of it.
+    pub fn failed(&mut self, now: Micros) {
+        let watched = self.pace.shared.is_some() && !self.whole;
+        self.waiting = watched && self.called_at.is_some_and(|at| now - at >= self.pace.wait * 9 / 10);
+        if self.waiting {
+            return;
+        }
         self.failures = self.failures.saturating_add(1);
-        self.whole = true;
+        self.whole = self.pace.shared.is_none()
+            || self.seq.or(self.known).is_none()
+            || self.failures.is_multiple_of(Pace::SHARED_WHOLE);
     }
 
     /// How old the list is.
@@ -202,7 +237,7 @@
         let nothing = !list.whole && list.hosts.is_empty() && self.seq == Some(list.seq);
         let quick = self.called_at.is_some_and(|at| now - at < self.pace.wait / HURRIED);
         self.hurried = if nothing && quick && !self.whole { self.hurried.saturating_add(1) } else { 0 };
-        (self.heard_at, self.failures) = (Some(now), 0);
+        (self.heard_at, self.failures, self.waiting) = (Some(now), 0, false);
         let doubt = self.doubt(&list);
         let Some(doubt) = doubt.filter(|doubt| !self.confirmed(*doubt, &list)) else {
             // A change that says nothing settles no doubt about the whole.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,4 +21,4 @@
 mod pace;
 
 pub use desk::{Age, Ask, Call, Desk, Doubt, News};
-pub use pace::Pace;
+pub use pace::{Pace, Shared};
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -25,6 +25,32 @@
     pub answer: Micros,
     /// After this much of the answer's time a second call is made beside the first.
     pub beside: Micros,
+    /// Where discovery is one service that every proxy must ask.
+    pub shared: Option<Shared>,
+}
+
+/// Discovery as one service of fixed capacity that all proxies ask. It refuses calls while its line is full and lets
+/// others wait in vain, so proxies that start together, or ask again at a fixed pace, can keep it from answering any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shared {
+    /// The seed of this proxy's spread.
+    pub seed: u64,
+    /// The time that the platform lets pass between calls (its `Rules.AskEveryUs`).
+    pub ask_every: Micros,
+    /// How many proxies ask.
+    pub proxies: u32,
+}
+
+impl Shared {
+    /// The first call comes within this span: a fixed one for each proxy, and a quarter of the time allowed at most.
+    pub fn first_within(&self) -> Micros {
+        (Micros::from(self.proxies) * 25_000).min(self.ask_every / 4).max(1)
+    }
+
+    /// The mean pause after so many failures in a row: it doubles from a quarter of the time allowed up to that time.
+    pub fn pause(&self, failures: u32) -> Micros {
+        ((self.ask_every / 4) << failures.saturating_sub(1).min(2)).max(2)
+    }
 }
 
 impl Pace {
@@ -35,12 +61,20 @@
     pub const IDLE_APART: Micros = 150_000;
     /// The longest pause after calls that failed.
     pub const FAILED_APART: Micros = 1_000_000;
+    /// Where discovery is shared, the whole list, whose every line is work for the service, is asked for again after so
+    /// many failures.
+    pub const SHARED_WHOLE: u32 = 4;
 
     /// The times for a rule that sends end `stop_within` after a drain is told (0 to 1 h; more counts as 1 h).
     pub fn new(stop_within: Micros) -> Self {
         let stop_within = stop_within.clamp(0, 3_600_000_000);
         let unit = (TOLD_BY + stop_within.min(TOLD_BY)) / 14;
-        Pace { stop_within, wait: unit * 4, connect: unit, answer: unit, beside: unit / 2 }
+        Pace { stop_within, wait: unit * 4, connect: unit, answer: unit, beside: unit / 2, shared: None }
+    }
+
+    /// Discovery is one service of fixed capacity for all proxies, each of which must ask it.
+    pub fn shared(self, shared: Shared) -> Self {
+        Pace { shared: Some(shared), ..self }
     }
 
     /// The longest time from the start of a watch that falls silent to the answer of the second call after it.
--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -3,6 +3,7 @@
 
 use super::clock::Clock;
 use super::config::{Config, SEND_MARGIN};
+use super::counts::{self, Counts};
 use super::journal::{Ended, Journal};
 use super::log;
 use async_channel::{Receiver, Sender};
@@ -84,6 +85,7 @@
     events: Sender<Event>,
     watch: Watch,
     journal: Journal,
+    counts: Counts,
     requests: HashMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
     /// The ids of open requests, as clients gave them.
@@ -126,6 +128,7 @@
             events,
             watch,
             journal,
+            counts: Counts::start(),
             requests: HashMap::new(),
             tickets: HashMap::new(),
             ids: HashSet::new(),
@@ -191,6 +194,10 @@
         }
         if now >= self.tend_at {
             self.tend_at = now + TEND;
+            self.counts.add("connections", "open", "", self.shared.open.get() as u64);
+            if let Some(what) = self.counts.take() {
+                log::counts(now as u64 / 1000, &what);
+            }
             self.shared.relax();
             self.members.values().for_each(|m| m.tend());
             if self.journal.records() {
@@ -338,6 +345,12 @@
         }
     }
 
+    /// Counts something of a request that is still open.
+    fn count(&mut self, id: RequestId, what: &'static str, how: &'static str) {
+        let class = self.requests.get(&id).and_then(|open| self.terms.names.get(open.class.0));
+        class.into_iter().for_each(|class| self.counts.one(what, how, class));
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(open) = self.close(id) {
             open.lane.give(open.ticket, answer);
@@ -349,15 +362,20 @@
             match action {
                 Action::Send { id, host, timeout, holds_until } => self.send(id, host, timeout, holds_until),
                 Action::Refuse { id, retry_after, reason } => {
+                    self.count(id, "refused", counts::reason(reason));
                     self.note_end(id, |journal, ended| journal.given_up(ended, true, reason));
                     self.answer(id, Answer::Refused((retry_after + 999) / 1000))
                 }
                 Action::Fail(id, reason) => {
+                    self.count(id, "failed", counts::reason(reason));
                     self.note_end(id, |journal, ended| journal.given_up(ended, false, reason));
                     self.answer(id, Answer::Failed)
                 }
                 Action::Cancel { id, attempt } => self.end(id, attempt.0, Ending::Cancelled),
-                Action::Probe(host) => self.probe(host),
+                Action::Probe(host, why) => {
+                    self.counts.one("probe", counts::why(why), "");
+                    self.probe(host);
+                }
                 Action::Timer(span) => self.timers.push(Reverse(self.clock.now() + span)),
                 // The watch on discovery always runs.
                 Action::Follow => {}
@@ -397,6 +415,7 @@
         }
         if let Some(flight) = self.flights.remove(&(id, attempt)) {
             drop(flight.task);
+            self.counts.one("attempt", counts::ending(ending), "");
             self.ended.push_back((id, attempt, flight.host, flight.sent, ending));
         }
     }
@@ -406,10 +425,12 @@
         if report.ending == Ending::Ok {
             if let Some(answer) = &mut report.answer {
                 let member = Some(flight.host);
+                self.count(id, "served", if answer.primary == Some(true) { "primary" } else { "replica" });
                 self.note_end(id, |journal, ended| journal.served(Ended { member, ..ended }));
                 self.answer(id, Answer::Served(std::mem::take(&mut answer.messages)));
             }
         }
+        self.counts.one("attempt", counts::ending(report.ending), "");
         let outcome = self.outcome(id, attempt, flight.host, flight.sent, &report);
         self.tell(outcome);
     }
@@ -458,12 +479,14 @@
                 _ => {}
             }
         }
+        self.counts.one("probed", if probed.ok { "ok" } else { "failed" }, "");
         self.journal.probed(host, probed.ok);
         self.tell(routing::Event::Probed(probed));
     }
 
     fn heard(&mut self, news: News, age: Option<Age>) {
-        self.told |= news.list.is_some();
+        // An answer that there is nothing new tells that the list as known stands.
+        self.told |= news.list.is_some() || age == Some(Age::Fresh);
         if news.doubt.is_some() || age.is_some() {
             log::list(age.map(Age::name), news.doubt, news.until.len());
             self.journal.list(age.map(Age::name), news.doubt.map(Doubt::name));
--- /dev/null
+++ b/crates/program/src/counts.rs
@@ -0,0 +1,83 @@
+//! What one proxy does, counted: a line of the log each second at level `debug`. Added up over all proxies of a fleet
+//! (`wharfplank lab counts`) it shows what each does little of and all together do much of.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use wharfplank_routing::{Ending, Reason, Why};
+
+/// Counters by name, up to a class's name each.
+#[derive(Default)]
+pub struct Counts {
+    on: bool,
+    counts: BTreeMap<(&'static str, &'static str, String), u64>,
+}
+
+impl Counts {
+    /// Counts where lines of level `debug` are written, and does nothing elsewhere.
+    pub fn start() -> Self {
+        Counts { on: tracing::enabled!(tracing::Level::DEBUG), ..Counts::default() }
+    }
+
+    /// Adds one.
+    pub fn one(&mut self, what: &'static str, how: &'static str, class: &str) {
+        self.add(what, how, class, 1);
+    }
+
+    /// Adds some.
+    pub fn add(&mut self, what: &'static str, how: &'static str, class: &str, count: u64) {
+        if self.on && count > 0 {
+            *self.counts.entry((what, how, class.to_string())).or_default() += count;
+        }
+    }
+
+    /// The counts since the last call as `what.how.class=count`, apart by commas.
+    pub fn take(&mut self) -> Option<String> {
+        let mut text = String::new();
+        for ((what, how, class), count) in std::mem::take(&mut self.counts) {
+            let gap = if text.is_empty() { "" } else { "," };
+            let dot = if class.is_empty() { "" } else { "." };
+            let _ = write!(text, "{gap}{what}.{how}{dot}{class}={count}");
+        }
+        (!text.is_empty()).then_some(text)
+    }
+}
+
+/// The name of an attempt's end.
+pub fn ending(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Ok => "ok",
+        Ending::Error => "error",
+        Ending::Full => "full",
+        Ending::Timeout => "timeout",
+        Ending::ConnectFailed => "connect_failed",
+        Ending::Reset => "reset",
+        Ending::Cancelled => "cancelled",
+        Ending::Moot => "moot",
+        Ending::Miss => "miss",
+    }
+}
+
+/// The name of the reason why a request is given up.
+pub fn reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::TooStale { .. } => "too_stale",
+        Reason::NoPrimary => "no_primary",
+        Reason::NoMember => "no_member",
+        Reason::Shed => "shed",
+        Reason::HeldTooLong => "held",
+        Reason::OutOfTime => "out_of_time",
+        Reason::AttemptsSpent => "attempts_spent",
+        Reason::MayHaveRun => "may_have_run",
+        Reason::Closing => "closing",
+        Reason::Unusable => "unusable",
+    }
+}
+
+/// The name of what a probe is for.
+pub fn why(why: Why) -> &'static str {
+    match why {
+        Why::Read => "read",
+        Why::Suspect => "suspect",
+        Why::Search => "search",
+    }
+}
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -3,6 +3,7 @@
 mod broker;
 pub mod clock;
 pub mod config;
+mod counts;
 mod journal;
 pub mod log;
 
@@ -14,7 +15,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
-use wharfplank_membership::{Desk, Pace};
+use wharfplank_membership::{Desk, Pace, Shared};
 use wharfplank_settings::Settings;
 use wharfplank_transport::clients::Clients;
 use wharfplank_transport::discovery::Watch;
@@ -61,7 +62,14 @@
         to_clients,
         Memory::new(config.memory / LARGE_PART),
     );
-    let desk = Desk::new(Pace::new(config.terms.stop_within), &config.known, clock.now());
+    let pace = Pace::new(config.terms.stop_within);
+    let asked = config.terms.ask_every.filter(|_| config.settings.must_follow).map(|ask_every| Shared {
+        seed: config.settings.seed,
+        ask_every,
+        proxies: config.settings.routers,
+    });
+    let pace = asked.map_or(pace, |shared| pace.shared(shared));
+    let desk = Desk::new(pace, &config.known, clock.now());
     let watch = Watch::start(Rc::clone(&executor), events.clone(), ends, now, desk, config.discovery);
     let journal = journal::Journal::start(settings.records.as_ref(), &config, clock)?;
     let broker =
--- a/crates/program/src/log.rs
+++ b/crates/program/src/log.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::SystemTime;
 use tracing::field::{Field, Visit};
-use tracing::{info, warn, Event, Subscriber};
+use tracing::{debug, info, warn, Event, Subscriber};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::format::{FormatEvent, FormatFields, Writer};
 use tracing_subscriber::fmt::FmtContext;
@@ -26,6 +26,7 @@
         Level::Error => tracing::Level::ERROR,
         Level::Warn => tracing::Level::WARN,
         Level::Info => tracing::Level::INFO,
+        Level::Debug => tracing::Level::DEBUG,
     };
     let dropped = writer.error_counter();
     let dropped = Box::new(move || dropped.dropped_lines());
@@ -128,6 +129,11 @@
     info!(side = e.side, peer = %e.peer, name, reason = e.reason, requests = e.requests, age_ms, "ended");
 }
 
+/// Notes what was done in the second before that time.
+pub fn counts(at_ms: u64, what: &str) {
+    debug!(at_ms, what, "counts");
+}
+
 /// Notes something about the records.
 pub fn records(what: &str) {
     warn!(what, "records");
--- a/crates/routing/src/api.rs
+++ b/crates/routing/src/api.rs
@@ -312,6 +312,17 @@
     pub slowness: f64,
 }
 
+/// What a probe is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// A read needs the member's position.
+    Read,
+    /// Whether a suspect's position moves on.
+    Suspect,
+    /// Which member of a group is its primary.
+    Search,
+}
+
 /// Something that a router does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -345,7 +356,7 @@
         attempt: AttemptNo,
     },
     /// Ask a member for its report.
-    Probe(HostId),
+    Probe(HostId, Why),
     /// Call back with [`Event::Timer`] after this span.
     Timer(Micros),
     /// Subscribe to the list.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -519,7 +519,7 @@
                 self.next_trial(host);
                 return self.send(id, host);
             }
-            self.probe(host);
+            self.probe(host, Why::Suspect);
         }
         // Reads keep the reports of suspects young: one whose position moves on works again.
         let aged = |h: &&HostId| {
@@ -528,7 +528,7 @@
         };
         let aged: Vec<HostId> =
             self.groups.get(&group).into_iter().flat_map(|g| &g.members).filter(aged).copied().collect();
-        aged.into_iter().for_each(|host| self.probe(host));
+        aged.into_iter().for_each(|host| self.probe(host, Why::Suspect));
         let (Some(p), Some(g)) = (self.pending.get(&id), self.groups.get(&group)) else { return false };
         let open = |h: &&HostId| {
             let m = &self.members[h];
@@ -564,7 +564,7 @@
         };
         match (p.probed, order.first()) {
             (None, Some(&(_, host, ..))) if minimum.is_some_and(|min| telling(host, min)) => {
-                self.probe(host);
+                self.probe(host, Why::Read);
                 if let Some(p) = self.pending.get_mut(&id) {
                     p.probed = Some((host, now));
                 }
@@ -604,13 +604,13 @@
         }
     }
 
-    fn probe(&mut self, host: HostId) {
+    fn probe(&mut self, host: HostId, why: Why) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&host) else { return };
         let open = m.probe_sent.is_some_and(|at| now - at < PROBE_LOST);
         if self.settings.may_probe && !open && m.listed == Listed::Up {
             m.probe_sent = Some(now);
-            self.out.push(Action::Probe(host));
+            self.out.push(Action::Probe(host, why));
         }
     }
 
@@ -683,7 +683,7 @@
             g.search_pause = (g.search_pause * 2).clamp(SEARCH_PAUSE, SEARCH_LONGEST);
             g.search_at = now + g.search_pause;
             for host in g.members.clone() {
-                self.probe(host);
+                self.probe(host, Why::Search);
             }
         }
     }
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -144,6 +144,8 @@
     pub keepalive: Micros,
     /// Sends to a member must end this long after the router was told that it drains or is gone.
     pub stop_within: Micros,
+    /// Where discovery must be asked: the time that may pass between calls.
+    pub ask_every: Option<Micros>,
 }
 
 /// Translates settings as the simulator's first message holds them.
@@ -211,5 +213,7 @@
     let connect_timeout = f.or("Allowed.ConnectTimeoutUs", 250_000)?;
     let keepalive = f.or("Allowed.KeepaliveUs", 15_000_000)?;
     let stop_within = f.or("Rules.StopSendingWithinUs", 1_000_000)?;
-    Ok((settings, Terms { names, zone, columns, origin, connect_timeout, keepalive, stop_within }))
+    let ask_every = f.get("Rules.AskEveryUs")?.filter(|span| *span > 0);
+    let terms = Terms { names, zone, columns, origin, connect_timeout, keepalive, stop_within, ask_every };
+    Ok((settings, terms))
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -58,6 +58,8 @@
     /// What goes on.
     #[default]
     Info,
+    /// What is done, counted by the second.
+    Debug,
 }
 
 /// The records of what the program decided and saw.
--- a/crates/standby/src/opening.rs
+++ b/crates/standby/src/opening.rs
@@ -1,5 +1,6 @@
 //! The first connection of a proxy.
 
+use fastrand::Rng;
 use std::collections::BTreeSet;
 use wharfplank_routing::{HostId, Micros};
 
@@ -31,20 +32,13 @@
         let next = members
             .into_iter()
             .filter(|m| !self.tried.contains(m))
-            .min_by_key(|m| (mixed(self.seed ^ u64::from(m.0)), *m))?;
+            .min_by_key(|m| (Rng::with_seed(self.seed ^ u64::from(m.0)).u64(..), *m))?;
         self.tried.insert(next);
         self.next_at = now + self.pause;
         Some(next)
     }
 }
 
-/// Spreads the bits of a number (the finishing step of splitmix64).
-fn mixed(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -109,7 +109,7 @@
                     self.desk.borrow_mut().heard((self.now)(), list)
                 }
                 None => {
-                    self.desk.borrow_mut().failed();
+                    self.desk.borrow_mut().failed((self.now)());
                     News::default()
                 }
             };
--- a/src/bin/wharfplank-benchlink/wire.rs
+++ b/src/bin/wharfplank-benchlink/wire.rs
@@ -230,7 +230,7 @@
         Action::Cancel { id, attempt } => {
             writeln!(reply, "DROP_ATTEMPT Who={who} Id={} SendNo={}", text(id), attempt.0)
         }
-        Action::Probe(host) => writeln!(reply, "TEST Who={who} Host={}", host.0),
+        Action::Probe(host, _) => writeln!(reply, "TEST Who={who} Host={}", host.0),
         Action::Timer(after) => writeln!(reply, "REMIND Who={who} Handle=sweep OffsetUs={after}"),
         Action::Follow => writeln!(reply, "FOLLOW Who={who} On=1"),
     };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -147,7 +147,7 @@
 
 pub fn probes(actions: &[Action]) -> Vec<HostId> {
     let probe = |a: &Action| match a {
-        Action::Probe(host) => Some(*host),
+        Action::Probe(host, _) => Some(*host),
         _ => None,
     };
     actions.iter().filter_map(probe).collect()
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,120 @@
+//! Many proxies' decisions in virtual time against one thing that they share. Events are counted, nothing is timed.
+
+use std::collections::VecDeque;
+use wharfplank::membership::{Ask, Call, Desk, Pace, Shared};
+use wharfplank::protocol::catalog::{Catalog, Health, Host};
+
+const MS: i64 = 1_000;
+const SECOND: i64 = 1_000 * MS;
+const PROXIES: usize = 100;
+
+/// Discovery as one service: it answers one call each 50 ms, in turn, lets a call wait for 2.3 s and has a line of 46.
+/// What it grants is a subscription, which costs nothing from then on. A call for the whole list takes four turns.
+#[derive(Default)]
+struct Service {
+    line: VecDeque<(usize, i64, i64)>,
+    busy_until: i64,
+    asked: Vec<i64>,
+}
+
+impl Service {
+    /// Whether a call may stand in the line.
+    fn ask(&mut self, proxy: usize, now: i64, work: i64) -> bool {
+        self.asked.push(now);
+        let room = self.line.len() < 46;
+        if room {
+            self.line.push_back((proxy, now, work));
+        }
+        room
+    }
+
+    /// Who is answered now, and whether granted. What is served too late has cost its work all the same.
+    fn tick(&mut self, now: i64) -> Option<(usize, bool)> {
+        if now < self.busy_until {
+            return None;
+        }
+        let (proxy, since, work) = self.line.pop_front()?;
+        self.busy_until = now + work;
+        Some((proxy, now - since <= 2300 * MS))
+    }
+}
+
+enum Stand {
+    Calls(Call),
+    Waits { until: i64, asked: bool },
+}
+
+/// How many proxies are subscribed after so many seconds, and what the service was asked.
+fn play(pace: impl Fn(u64) -> Pace, seconds: i64) -> (usize, Service) {
+    let known = Host {
+        name: "a".into(),
+        dial: Some("127.0.0.1:1".parse().unwrap()),
+        site: String::new(),
+        group: 0,
+        health: Health::Active,
+        born_ms: 0,
+        primary: false,
+    };
+    let known = Catalog { seq: 1, whole: true, hosts: vec![known] };
+    let mut service = Service::default();
+    let mut subscribed = [false; PROXIES];
+    let mut fleet: Vec<(Desk, Stand)> = (0..PROXIES as u64)
+        .map(|seed| {
+            let mut desk = Desk::new(pace(seed), &known, 0);
+            let call = desk.next(0);
+            (desk, Stand::Calls(call))
+        })
+        .collect();
+    for now in (0..seconds * SECOND).step_by(MS as usize) {
+        let answered = service.tick(now);
+        for (proxy, (desk, stand)) in fleet.iter_mut().enumerate() {
+            let refused = match stand {
+                Stand::Calls(call) if now >= call.at => {
+                    let whole = call.ask == Ask::Whole;
+                    let work = if whole { 200 * MS } else { 50 * MS };
+                    let free = !whole && subscribed[proxy];
+                    let stands = !whole && service.line.iter().any(|(p, ..)| *p == proxy);
+                    let refused = !free && !stands && !service.ask(proxy, now, work);
+                    // A call without a wait takes as long as the service does, two and a half seconds at most.
+                    let span = if whole { call.answer } else { call.wait };
+                    *stand = Stand::Waits { until: now + span, asked: !whole };
+                    refused
+                }
+                _ => false,
+            };
+            let Stand::Waits { until, asked } = *stand else { continue };
+            let mine = answered.filter(|(p, _)| *p == proxy).map(|(_, granted)| granted);
+            if mine == Some(true) && asked {
+                subscribed[proxy] = true;
+            }
+            if refused || mine == Some(false) || (now >= until && !subscribed[proxy]) {
+                desk.failed(now);
+            } else if now >= until || (mine == Some(true) && !asked) {
+                desk.heard(now, Catalog { seq: 1, whole: !asked, hosts: known.hosts.clone() });
+            } else {
+                continue;
+            }
+            *stand = Stand::Calls(desk.next(now));
+        }
+    }
+    (subscribed.iter().filter(|s| **s).count(), service)
+}
+
+#[test]
+fn all_proxies_come_through_to_a_discovery_that_they_share() {
+    let shared =
+        |seed| Pace::new(SECOND).shared(Shared { seed, ask_every: 10 * SECOND, proxies: PROXIES as u32 });
+    let (subscribed, service) = play(shared, 15);
+    assert_eq!(subscribed, PROXIES);
+    assert!(service.asked.len() <= 3 * PROXIES, "{} calls", service.asked.len());
+    // Once all stand on the list, nobody asks.
+    assert!(service.asked.iter().all(|at| *at < 14 * SECOND));
+}
+
+/// What the spread and the pauses are for: the same proxies at the pace that suits an agent of their own.
+#[test]
+fn at_a_fixed_pace_most_of_them_never_do() {
+    let (subscribed, service) = play(|_| Pace::new(SECOND), 15);
+    assert!(subscribed < PROXIES, "{subscribed} subscribed");
+    assert!(service.asked.len() > 6 * PROXIES, "{} calls", service.asked.len());
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -132,7 +132,7 @@
             }
             Step::Fails => {
                 self.call();
-                self.desk.failed();
+                self.desk.failed(self.now);
             }
             Step::Moves => {
                 self.desk.moved(self.now);
