Count one answer as one of four at least where a router has few to judge load by

A router with one answer a second weighed each almost fully (pace 1), so that one long answer of one slow member shed the whole group for seconds, 100 times over. Ruled out: the limit of own requests at the primary (no change). At fault: the weight 1 / (1 + pace) in Router::outcome and Router::probed (crates/routing/src/choice.rs).

Where fewer than four answers come in a second each now counts as one of four. A router with many is hardly changed.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -71,9 +71,11 @@
 const SHED_STEP: f64 = 1.5;
 const SHED_TARGET: f64 = 0.45;
 const SHED_MOST: f64 = 3.0;
-/// Decay per µs, and the span in µs over which answers count together: many do not move it faster.
+/// Decay per µs, and the span in µs over which answers count together: many do not move it faster, and
+/// where fewer come than the last, each counts as one of so many: a single long one tells nothing of load.
 const SHED_DECAY: f64 = 0.07e-6;
 const PACE_SPAN: f64 = 1e6;
+const PACE_LEAST: f64 = 4.0;
 /// Parts of the aim that count for: a lost answer (not all are lost to load), a full member, a report
 /// with nothing queued, and each usual time of wait in a reported queue.
 const LOST: f64 = 0.7;
@@ -559,8 +561,8 @@
         if let Some(host) = close {
             return self.send(id, host);
         }
-        // Not one that was seen so far behind that it cannot have caught up, and while its report is young not one
-        // that would still be short with all the time since. Ties are the router's own, as for sends.
+        // Not one that was seen so far behind that it cannot have caught up, and while that is young not
+        // one that would still be short with all the time since. Ties are the router's own, as for sends.
         let telling = |c: &&(f64, HostId, usize, f64)| {
             let (m, age) = (&self.members[&c.1], (now - self.members[&c.1].seen_at).min(1 << 40));
             let gain = if age < 3 * REPORT_SHARED { age } else { CATCH_UP * age };
@@ -850,7 +852,7 @@
         if let Some(strain) = strain {
             m.learn(if o.ending == Ending::Ok { quota } else { strain.max(quota) });
             let others = m.flights.len() as f64;
-            g.sheds[usize::from(led)].learn(strain, 1.0 / ((1.0 + others) * (1.0 + pace)), now);
+            g.sheds[usize::from(led)].learn(strain, 1.0 / ((1.0 + others) * (PACE_LEAST + pace)), now);
         }
         let slow =
             matches!(o.ending, Ending::Timeout | Ending::Cancelled | Ending::Full) && ratio > m.slowness;
@@ -929,7 +931,11 @@
         let (group, waiting) = (m.group, m.waiting(now));
         let (led, pace) = (self.leader(group) == Some(probed.host), self.pace(group));
         if let (Some(_), Some(g)) = (probed.queue, self.groups.get_mut(&group)) {
-            g.sheds[usize::from(led)].learn((IDLE + QUEUED * waiting).min(FULL), 1.0 / (1.0 + pace), now);
+            g.sheds[usize::from(led)].learn(
+                (IDLE + QUEUED * waiting).min(FULL),
+                1.0 / (PACE_LEAST + pace),
+                now,
+            );
         }
         self.wake(group);
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -470,3 +470,21 @@
     let trials = sends(&actions).iter().filter(|sent| sent.1 == HostId(2)).count();
     assert_eq!(trials, 1, "one trial at once, and the rest elsewhere");
 }
+
+/// Guards against a group whose reads are shed by a router that hears of it once a second, since one answer of one slow
+/// member was long: of many routers with little traffic each would turn reads away that its neighbours serve.
+#[test]
+fn one_long_answer_does_not_shed_the_next_reads() {
+    let mut refused = 0;
+    for seed in 0..50 {
+        let mut b = Bench::new(Settings { seed, ..settings() });
+        for n in 0..10 {
+            b.now += 1_000_000;
+            b.latency = if n % 5 == 4 { 900_000 } else { 40_000 };
+            let actions = b.ask(ANY);
+            refused += actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+            sends(&actions).into_iter().for_each(|sent| drop(b.end(sent, 0, Ending::Ok, None)));
+        }
+    }
+    assert!(refused <= 125, "{refused} of 500 refused");
+}
