--- a/crates/membership/src/desk.rs
+++ b/crates/membership/src/desk.rs
@@ -156,7 +156,7 @@
     /// is asked for anew, and its deadline stands.
     pub fn moved(&mut self, now: Micros) {
         (self.seq, self.known, self.heard_at, self.called_at) = (None, None, None, None);
-        (self.failures, self.hurried, self.whole, self.since) = (0, 0, true, now);
+        (self.failures, self.hurried, self.waiting, self.whole, self.since) = (0, 0, false, true, now);
     }
 
     /// The next call.
--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -4,7 +4,7 @@
 use super::clock::Clock;
 use super::config::{Config, SEND_MARGIN};
 use super::counts::{self, Counts};
-use super::journal::{Ended, Journal};
+use super::journal::{recorded, Ended, Journal};
 use super::log;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -347,7 +347,8 @@
 
     /// Counts something of a request that is still open.
     fn count(&mut self, id: RequestId, what: &'static str, how: &'static str) {
-        let class = self.requests.get(&id).and_then(|open| self.terms.names.get(open.class.0));
+        let open = self.requests.get(&id).filter(|_| self.counts.on());
+        let class = open.and_then(|open| self.terms.names.get(open.class.0));
         class.into_iter().for_each(|class| self.counts.one(what, how, class));
     }
 
@@ -362,12 +363,12 @@
             match action {
                 Action::Send { id, host, timeout, holds_until } => self.send(id, host, timeout, holds_until),
                 Action::Refuse { id, retry_after, reason } => {
-                    self.count(id, "refused", counts::reason(reason));
+                    self.count(id, "refused", recorded(reason).name());
                     self.note_end(id, |journal, ended| journal.given_up(ended, true, reason));
                     self.answer(id, Answer::Refused((retry_after + 999) / 1000))
                 }
                 Action::Fail(id, reason) => {
-                    self.count(id, "failed", counts::reason(reason));
+                    self.count(id, "failed", recorded(reason).name());
                     self.note_end(id, |journal, ended| journal.given_up(ended, false, reason));
                     self.answer(id, Answer::Failed)
                 }
--- a/crates/program/src/counts.rs
+++ b/crates/program/src/counts.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use wharfplank_routing::{Ending, Reason, Why};
+use wharfplank_routing::{Ending, Why};
 
 /// Counters by name, up to a class's name each.
 #[derive(Default)]
@@ -18,6 +18,11 @@
         Counts { on: tracing::enabled!(tracing::Level::DEBUG), ..Counts::default() }
     }
 
+    /// Whether anything is counted.
+    pub fn on(&self) -> bool {
+        self.on
+    }
+
     /// Adds one.
     pub fn one(&mut self, what: &'static str, how: &'static str, class: &str) {
         self.add(what, how, class, 1);
@@ -34,6 +39,8 @@
     pub fn take(&mut self) -> Option<String> {
         let mut text = String::new();
         for ((what, how, class), count) in std::mem::take(&mut self.counts) {
+            // Records name reasons in words; here a gap would end the value.
+            let how = how.replace(' ', "_");
             let gap = if text.is_empty() { "" } else { "," };
             let dot = if class.is_empty() { "" } else { "." };
             let _ = write!(text, "{gap}{what}.{how}{dot}{class}={count}");
@@ -57,22 +64,6 @@
     }
 }
 
-/// The name of the reason why a request is given up.
-pub fn reason(reason: Reason) -> &'static str {
-    match reason {
-        Reason::TooStale { .. } => "too_stale",
-        Reason::NoPrimary => "no_primary",
-        Reason::NoMember => "no_member",
-        Reason::Shed => "shed",
-        Reason::HeldTooLong => "held",
-        Reason::OutOfTime => "out_of_time",
-        Reason::AttemptsSpent => "attempts_spent",
-        Reason::MayHaveRun => "may_have_run",
-        Reason::Closing => "closing",
-        Reason::Unusable => "unusable",
-    }
-}
-
 /// The name of what a probe is for.
 pub fn why(why: Why) -> &'static str {
     match why {
--- a/crates/program/src/journal.rs
+++ b/crates/program/src/journal.rs
@@ -21,6 +21,22 @@
     listed: HashMap<HostId, (Health, i64)>,
 }
 
+/// The module's reason as records and the log's counts name it.
+pub fn recorded(reason: Reason) -> record::Reason {
+    match reason {
+        Reason::TooStale { .. } => record::Reason::TooStale,
+        Reason::NoPrimary => record::Reason::NoPrimary,
+        Reason::NoMember => record::Reason::NoMember,
+        Reason::Shed => record::Reason::Shed,
+        Reason::HeldTooLong => record::Reason::Held,
+        Reason::OutOfTime => record::Reason::OutOfTime,
+        Reason::AttemptsSpent => record::Reason::Spent,
+        Reason::MayHaveRun => record::Reason::MayHaveRun,
+        Reason::Closing => record::Reason::Closing,
+        Reason::Unusable => record::Reason::Unusable,
+    }
+}
+
 /// What is known of a request when it ends.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
@@ -118,18 +134,11 @@
 
     /// A request was refused, or failed.
     pub fn given_up(&self, ended: Ended, refused: bool, reason: Reason) {
-        let (reason, stale) = match reason {
-            Reason::TooStale { needed, known } => (record::Reason::TooStale, Some((needed, known))),
-            Reason::NoPrimary => (record::Reason::NoPrimary, None),
-            Reason::NoMember => (record::Reason::NoMember, None),
-            Reason::Shed => (record::Reason::Shed, None),
-            Reason::HeldTooLong => (record::Reason::Held, None),
-            Reason::OutOfTime => (record::Reason::OutOfTime, None),
-            Reason::AttemptsSpent => (record::Reason::Spent, None),
-            Reason::MayHaveRun => (record::Reason::MayHaveRun, None),
-            Reason::Closing => (record::Reason::Closing, None),
-            Reason::Unusable => (record::Reason::Unusable, None),
+        let stale = match reason {
+            Reason::TooStale { needed, known } => Some((needed, known)),
+            _ => None,
         };
+        let reason = recorded(reason);
         self.answer(ended, if refused { Outcome::Refused(reason) } else { Outcome::Failed(reason) }, stale);
     }
 
--- a/crates/transport/src/members.rs
+++ b/crates/transport/src/members.rs
@@ -314,8 +314,8 @@
     fn top_up(self: &Rc<Self>) {
         let now = Instant::now();
         let paused = self.pause_until.get().is_some_and(|until| now < until);
-        let spares = self.demand.get().spares((self.shared.now)());
-        let spare = if paused || !self.wanted.get() { 0 } else { spares };
+        let unwanted = paused || !self.wanted.get();
+        let spare = if unwanted { 0 } else { self.demand.get().spares((self.shared.now)()) };
         let waiting = self.waiters.borrow().iter().filter(|w| !w.is_closed()).count();
         let soon = self.idle.borrow().len() + self.resting.get();
         let need = (waiting + spare).saturating_sub(soon).min(OPENING_MOST);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use wharfplank::membership::{Ask, Call, Desk, Pace, Shared};
-use wharfplank::protocol::catalog::{Catalog, Health, Host};
+use wharfplank::protocol::catalog::{parse, Catalog};
 
 const MS: i64 = 1_000;
 const SECOND: i64 = 1_000 * MS;
@@ -46,16 +46,8 @@
 
 /// How many proxies are subscribed after so many seconds, and what the service was asked.
 fn play(pace: impl Fn(u64) -> Pace, seconds: i64) -> (usize, Service) {
-    let known = Host {
-        name: "a".into(),
-        dial: Some("127.0.0.1:1".parse().unwrap()),
-        site: String::new(),
-        group: 0,
-        health: Health::Active,
-        born_ms: 0,
-        primary: false,
-    };
-    let known = Catalog { seq: 1, whole: true, hosts: vec![known] };
+    let known = br#"{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"active"}]}"#;
+    let known = parse(known).unwrap();
     let mut service = Service::default();
     let mut subscribed = [false; PROXIES];
     let mut fleet: Vec<(Desk, Stand)> = (0..PROXIES as u64)
@@ -75,7 +67,6 @@
                     let free = !whole && subscribed[proxy];
                     let stands = !whole && service.line.iter().any(|(p, ..)| *p == proxy);
                     let refused = !free && !stands && !service.ask(proxy, now, work);
-                    // A call without a wait takes as long as the service does, two and a half seconds at most.
                     let span = if whole { call.answer } else { call.wait };
                     *stand = Stand::Waits { until: now + span, asked: !whole };
                     refused
@@ -115,6 +106,6 @@
 #[test]
 fn at_a_fixed_pace_most_of_them_never_do() {
     let (subscribed, service) = play(|_| Pace::new(SECOND), 15);
-    assert!(subscribed < PROXIES, "{subscribed} subscribed");
+    assert!(subscribed < PROXIES / 2, "{subscribed} subscribed");
     assert!(service.asked.len() > 6 * PROXIES, "{} calls", service.asked.len());
 }
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -134,17 +134,17 @@
 /// may well be new enough, is never asked: what was seen, and how fast a replica catches up, tell which is worth it.
 #[test]
 fn a_replica_that_cannot_have_caught_up_is_not_probed() {
-    for (behind, waited, probed) in [(5_000_000, 400_000, vec![3]), (5_000_000, 2_400_000, vec![2, 3])] {
+    for (waited, probed) in [(400_000, vec![3]), (2_400_000, vec![2, 3])] {
         let mut asked = std::collections::BTreeSet::new();
         for seed in 0..20 {
             let settings = Settings { seed, when_behind: WhenBehind::Answers, ..settings() };
             let mut b = Bench::new(settings);
-            b.probed(2, Role::Replica, START - behind);
+            b.probed(2, Role::Replica, START - 5_000_000);
             b.probed(3, Role::Replica, START);
             b.now += waited;
             asked.extend(probes(&b.ask(BOUNDED)).iter().map(|h| h.0));
         }
-        assert!(asked.iter().all(|host| probed.contains(host)) && asked.contains(&3), "{waited}: {asked:?}");
+        assert_eq!(asked.into_iter().collect::<Vec<u32>>(), probed, "after {waited} us");
     }
     let mut b = Bench::new(Settings { when_behind: WhenBehind::Answers, ..settings() });
     b.probed(2, Role::Replica, START - 5_000_000);
@@ -158,6 +158,7 @@
 /// as often as three do.
 #[test]
 fn a_fleet_asks_a_suspect_as_often_as_three_routers() {
+    let silent = |host| Probed { host, ok: false, role: None, position: None, queue: None };
     let asked = |routers: u32| {
         let count = |seed: u64| {
             let mut b =
@@ -174,13 +175,7 @@
                 let suspects = probes(&actions).into_iter().filter(|h| h.0 == 2);
                 suspects.for_each(|h| {
                     count += 1;
-                    b.tell(Event::Probed(Probed {
-                        host: h,
-                        ok: false,
-                        role: None,
-                        position: None,
-                        queue: None,
-                    }));
+                    b.tell(Event::Probed(silent(h)));
                 });
                 sends(&actions).into_iter().for_each(|s| drop(b.end(s, 0, Ending::Ok, None)));
             }
