--- a/crates/failover/src/evidence.rs
+++ b/crates/failover/src/evidence.rs
@@ -63,8 +63,11 @@
         } else if silent > 0 && self.opinion == Opinion::Up {
             // Silence since the last answer: the zone is no longer known to answer, nor yet known not to.
             self.opinion = Opinion::Unknown;
-        } else if self.opinion != Opinion::Unknown && now - self.borne_at > terms.life {
-            self.opinion = Opinion::Unknown;
+        } else {
+            let life = if self.opinion == Opinion::Up { terms.up_life } else { terms.life };
+            if self.opinion != Opinion::Unknown && now - self.borne_at > life {
+                self.opinion = Opinion::Unknown;
+            }
         }
     }
 }
@@ -96,6 +99,10 @@
         }
         assert_eq!(zone.opinion(terms.life, &terms), Opinion::Down);
         assert_eq!(zone.opinion(terms.life + 3, &terms), Opinion::Unknown);
+        zone.observe(terms.life + 4, 3, true, &terms);
+        let quiet = terms.life + 4 + terms.window + terms.life + 1;
+        assert_eq!(zone.opinion(quiet, &terms), Opinion::Up, "an Up opinion holds longer: quiet is no news");
+        assert_eq!(zone.opinion(terms.life + 5 + terms.up_life, &terms), Opinion::Unknown);
     }
 
     #[test]
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -64,6 +64,10 @@
     /// How long an opinion holds without a new outcome that bears it out. A left zone gets no reads, so its Down
     /// opinions grow old by themselves, and it is tried again.
     pub life: Micros,
+    /// How long an Up opinion holds without an answer that bears it out, and without silence that speaks against it.
+    /// A far zone may see few sends of this proxy; an opinion that flipped each time would be published each time,
+    /// and notes to all proxies from each of them grow with the fleet.
+    pub up_life: Micros,
     /// The least time a zone stays left; it doubles with each return that fails, up to `hold_most`.
     pub hold: Micros,
     /// See `hold`.
@@ -87,6 +91,7 @@
             silent_least: 3,
             members_least: 2,
             life: 4_000_000,
+            up_life: 30_000_000,
             hold: 2_000_000,
             hold_most: 30_000_000,
             calm: 60_000_000,
--- a/crates/fleetrig/src/schedule.rs
+++ b/crates/fleetrig/src/schedule.rs
@@ -225,7 +225,9 @@
             }
             Scenario::Calm => {}
         }
-        Schedule { scenario, seed, proxies, seconds, rate: 40 * proxies as u64, groups: 3, peers, faults }
+        // Some tens of requests a second a proxy, and no more than the stand-ins of three groups serve with room.
+        let rate = (40 * proxies as u64).min(400);
+        Schedule { scenario, seed, proxies, seconds, rate, groups: 3, peers, faults }
     }
 
     /// Reads a schedule that a run wrote out; bounded as a drawn one is.
