--- a/crates/failover/src/evidence.rs
+++ b/crates/failover/src/evidence.rs
@@ -27,12 +27,17 @@
     opinion: Opinion,
     /// When the opinion was last borne out.
     borne_at: Micros,
+    /// When the zone last answered.
+    answered_at: Option<Micros>,
 }
 
 impl Evidence {
     /// Notes an outcome: an answer of any kind (a value, an error, a miss, full) is the member speaking; no
     /// connection or no answer in time is silence.
     pub fn observe(&mut self, now: Micros, member: u32, answered: bool, terms: &Terms) {
+        if answered {
+            self.answered_at = Some(now);
+        }
         if self.outcomes.len() >= OUTCOMES_MOST {
             self.outcomes.pop_front();
         }
@@ -40,6 +45,14 @@
         self.judge(now, terms);
     }
 
+    /// Notes that a send of `sent` has met silence by now. One that went before the zone's last answer tells of a time
+    /// that the answer has overtaken: a long wait that began while the zone was lost ends after its return.
+    pub fn silence(&mut self, now: Micros, sent: Micros, member: u32, terms: &Terms) {
+        if self.answered_at.is_none_or(|at| at < sent) {
+            self.observe(now, member, false, terms);
+        }
+    }
+
     /// The opinion as of now.
     pub fn opinion(&mut self, now: Micros, terms: &Terms) -> Opinion {
         self.judge(now, terms);
@@ -90,6 +103,23 @@
         assert_eq!(zone.opinion(40, &terms), Opinion::Up, "one answer in the window speaks for the zone");
     }
 
+    #[test]
+    fn silence_of_sends_from_before_the_last_answer_does_not_speak_against_the_zone() {
+        let terms = Terms::default();
+        let mut zone = Evidence::default();
+        let back = 5_000_000;
+        zone.observe(back, 3, true, &terms);
+        let late = back + terms.window + 10;
+        (0..9).for_each(|i| zone.silence(late + i, back - 1_000_000, i as u32 % 3, &terms));
+        assert_eq!(
+            zone.opinion(late + 9, &terms),
+            Opinion::Up,
+            "sent while it was lost, ended after its return"
+        );
+        (0..9).for_each(|i| zone.silence(late + 20 + i, back + 1, i as u32 % 3, &terms));
+        assert_eq!(zone.opinion(late + 30, &terms), Opinion::Down, "sent after its last answer");
+    }
+
     #[test]
     fn an_opinion_that_nothing_bears_out_grows_old() {
         let terms = Terms::default();
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -79,6 +79,8 @@
     pub cold_from: f64,
     /// See `cold_from`.
     pub cold_span: Micros,
+    /// A proxy that was not called for longer than this stood still.
+    pub gap: Micros,
     /// The least part of the proxies alive (this one among them) that must hold an opinion of a zone before their
     /// majority counts: a handful that saw something are no quorum of hundreds that saw nothing.
     pub voters_part: f64,
@@ -97,6 +99,7 @@
             calm: 60_000_000,
             cold_from: 0.24,
             cold_span: 15_000_000,
+            gap: 2_000_000,
             voters_part: 1.0 / 3.0,
         }
     }
--- a/crates/failover/src/zones.rs
+++ b/crates/failover/src/zones.rs
@@ -57,6 +57,9 @@
     known: BTreeMap<u64, Micros>,
     zones: BTreeMap<String, Zone>,
     published: Vec<(String, Opinion)>,
+    /// When this proxy was last called, and when it last woke from standing still.
+    called_at: Option<Micros>,
+    woke_at: Option<Micros>,
     /// Opinions of peers that were not held since the bound was reached, and zones not kept apart.
     pub dropped: u64,
 }
@@ -67,6 +70,16 @@
         Zones { terms, alone, ..Zones::default() }
     }
 
+    /// Notes that this proxy runs. One that stood still (paused, starved) wakes to datagrams and time-outs of a past
+    /// that the others have left behind: until it has read them it leaves no zone, and silence of sends from before
+    /// speaks for none.
+    fn runs(&mut self, now: Micros) {
+        if self.called_at.is_some_and(|at| now - at > self.terms.gap) {
+            self.woke_at = Some(now);
+        }
+        self.called_at = Some(now);
+    }
+
     fn room(&mut self, zone: &str) -> bool {
         if self.zones.contains_key(zone) {
             return true;
@@ -82,12 +95,22 @@
 
     /// An outcome of a member of `zone`: `answered` where it spoke at all, false where it was silent.
     pub fn observe(&mut self, now: Micros, zone: &str, member: u32, answered: bool) {
+        self.runs(now);
         if self.room(zone) {
             let terms = self.terms.clone();
             self.own.entry(zone.to_string()).or_default().observe(now, member, answered, &terms);
         }
     }
 
+    /// A send to a member of `zone` that went at `sent` has met silence: see [`Evidence::silence`].
+    pub fn silence(&mut self, now: Micros, sent: Micros, zone: &str, member: u32) {
+        self.runs(now);
+        if self.woke_at.is_none_or(|at| at <= sent) && self.room(zone) {
+            let terms = self.terms.clone();
+            self.own.entry(zone.to_string()).or_default().silence(now, sent, member, &terms);
+        }
+    }
+
     /// This proxy's own opinion of a zone.
     pub fn own(&mut self, zone: &str, now: Micros) -> Opinion {
         let terms = self.terms.clone();
@@ -154,6 +177,8 @@
 
     /// Decides each zone's standing anew; true where one changed.
     pub fn decide(&mut self, now: Micros) -> bool {
+        self.runs(now);
+        let waking = self.woke_at.is_some_and(|at| now - at < self.terms.window);
         let names: Vec<String> = self.zones.keys().cloned().collect();
         let mut changed = false;
         for name in names {
@@ -165,7 +190,7 @@
             }
             let hold = terms.hold.saturating_mul(1 << zone.failed.min(16)).min(terms.hold_most);
             let next = match zone.standing {
-                Standing::Served if down => Standing::Left { since: now },
+                Standing::Served if down && !waking => Standing::Left { since: now },
                 Standing::Returning { .. } if down => {
                     zone.failed += 1;
                     Standing::Left { since: now }
@@ -331,6 +356,28 @@
         assert_eq!(zones.share("a", now + terms.cold_span), 1.0);
     }
 
+    #[test]
+    fn a_proxy_that_stood_still_does_not_act_on_the_past_it_wakes_to() {
+        let terms = Terms::default();
+        let mut zones = Zones::new(terms.clone(), Alone::Serve);
+        zones.alive(0, [1, 2].into_iter());
+        zones.observe(0, "a", 1, true);
+        zones.decide(0);
+        // Ten seconds later: its sends of before have timed out, and old notes of its peers wait to be read.
+        let now = 10 * S;
+        (0..9).for_each(|i| zones.silence(now, 0, "a", i % 3));
+        zones.alive(now, [1, 2].into_iter());
+        [1, 2].into_iter().for_each(|peer| zones.heard(now, peer, &down("a")));
+        zones.decide(now);
+        assert_eq!(zones.standing("a"), Standing::Served, "it acted on what the others have left behind");
+        assert_ne!(zones.own("a", now), Opinion::Down);
+        // What still holds once it has caught up counts.
+        for step in 1..=11 {
+            zones.decide(now + step * S / 10);
+        }
+        assert!(matches!(zones.standing("a"), Standing::Left { .. }));
+    }
+
     #[test]
     fn opinions_are_published_when_they_change_only() {
         let mut zones = Zones::new(Terms::default(), Alone::Serve);
--- a/crates/fleetrig/src/check.rs
+++ b/crates/fleetrig/src/check.rs
@@ -2,7 +2,7 @@
 //! broken rules and the figures of the failover decided in common.
 
 use crate::proxies::Plan;
-use crate::schedule::{Fault, Schedule};
+use crate::schedule::{Fault, Schedule, ZONES};
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -12,6 +12,9 @@
 /// Seconds after a zone is lost or returns at which agreement is counted.
 pub const AFTER: [u64; 3] = [1, 2, 5];
 
+/// Lost requests that a report names, at most.
+const LOST_NAMED: usize = 20;
+
 /// What a run showed.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Report {
@@ -27,6 +30,8 @@
     pub requests: BTreeMap<String, u64>,
     /// Requests without an answer whose proxy was neither killed nor paused meanwhile: lost, a broken rule.
     pub lost: u64,
+    /// The first of the lost: which proxy and class, when it was due and ended in ms of the load, and what was seen.
+    pub lost_named: Vec<String>,
     /// Requests without an answer while their proxy was killed or paused: what the platform's front costs.
     pub unanswered_at_a_dead_proxy: u64,
     /// Reads served from data older than their class allows, at the members.
@@ -44,6 +49,8 @@
     pub left_after: Vec<[f64; 3]>,
     /// See `left_after`.
     pub back_after: Vec<[f64; 3]>,
+    /// Proxies that held a zone left when the load ended.
+    pub left_at_end: usize,
     /// The part of reads sent to a replica of another zone while no zone was in trouble (the primary serves where it
     /// stands).
     pub far_reads: f64,
@@ -143,6 +150,12 @@
                 report.unanswered_at_a_dead_proxy += 1;
             } else if d.seen != Seen::Unreachable {
                 report.lost += 1;
+                if report.lost_named.len() < LOST_NAMED {
+                    let ms = |at: i64| (at - start) / 1000;
+                    let class = wharfplank_lab::fleet::CLASSES[d.class].name;
+                    let (due, at) = (ms(d.due), ms(d.at));
+                    report.lost_named.push(format!("n{} {class} due {due} ended {at} {:?}", d.proxy, d.seen));
+                }
             }
         }
     }
@@ -159,6 +172,9 @@
         report.left_after.push(AFTER.map(|s| part(from + s as i64 * 1_000_000, true)));
         report.back_after.push(AFTER.map(|s| part(to + s as i64 * 1_000_000, false)));
     }
+    let end = start + schedule.seconds as i64 * 1_000_000;
+    let left = |d: &&Vec<(i64, String, bool)>| ZONES.iter().any(|zone| left_at(d, zone, end));
+    report.left_at_end = decided.iter().filter(left).count();
     report.far_reads = counted.far as f64 / (counted.near + counted.far).max(1) as f64;
     let seconds = schedule.seconds.max(1) as f64 * schedule.proxies.max(1) as f64;
     report.udp_bytes_a_second = counted.bytes as f64 / seconds;
@@ -183,6 +199,7 @@
             "broken rules {}: lost {}, stale reads {}, writes twice {}, cold members fallen {}, crashes {}\n",
             self.broken, self.lost, self.stale, self.twice, self.fallen, self.crashed
         ));
+        self.lost_named.iter().for_each(|lost| out.push_str(&format!("lost: {lost}\n")));
         out.push_str(&format!("unanswered at a dead or paused proxy: {}\n", self.unanswered_at_a_dead_proxy));
         for (left, back) in self.left_after.iter().zip(&self.back_after) {
             out.push_str(&format!(
--- a/crates/fleetrig/src/lib.rs
+++ b/crates/fleetrig/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`proxies`]: the processes.
 //! - [`check`]: what a run showed.
 //! - [`run`]: one run.
+//! - [`sweep`]: many runs, some beside each other, added up by scenario.
 
 pub mod agent;
 pub mod check;
@@ -18,3 +19,4 @@
 pub mod relay;
 pub mod run;
 pub mod schedule;
+pub mod sweep;
--- a/crates/fleetrig/src/schedule.rs
+++ b/crates/fleetrig/src/schedule.rs
@@ -11,6 +11,8 @@
 pub const PROXIES_MOST: usize = 200;
 /// See [`PROXIES_MOST`].
 pub const SECONDS_MOST: u64 = 600;
+/// Seconds of load after the last fault of a drawn schedule.
+const AFTER_LAST: u64 = 7;
 
 /// The hard cases that the rig plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -173,26 +175,29 @@
         let proxies = proxies.clamp(3, PROXIES_MOST);
         let mut rng = SmallRng::seed_from_u64(seed);
         let zone = ZONES[rng.random_range(0..ZONES.len())].to_string();
-        let lost_at = rng.random_range(6..9);
+        let lost_at = rng.random_range(4..7);
         let ms = |s: u64| s * 1000;
         let lose = |at_s: u64, for_s: u64| Fault::Zone { at_s, for_s, zone: zone.clone(), lose: true };
         let mut faults = Vec::new();
-        let mut seconds = 24;
+        // Long enough after the last zone fault for the last count of agreement, and some calm.
+        let mut seconds = lost_at + 5 + AFTER_LAST;
         match scenario {
             Scenario::ZoneLoss => faults.push(lose(lost_at, 5)),
             Scenario::ZoneCut => {
                 faults.push(Fault::Cut { at_ms: ms(lost_at), until_ms: ms(lost_at + 6), zone })
             }
             Scenario::ZoneFlap => {
-                seconds = 26;
+                seconds = lost_at + 14 + AFTER_LAST;
                 faults.extend((0..4).map(|i| lose(lost_at + 4 * i, 2)));
             }
             Scenario::Minority => {
+                seconds = lost_at + 9 + AFTER_LAST;
                 let side: Vec<usize> = (0..proxies).filter(|p| p % 3 == 0).collect();
                 faults.push(Fault::Split { at_ms: ms(lost_at - 3), until_ms: ms(lost_at + 9), side });
                 faults.push(lose(lost_at, 5));
             }
             Scenario::Pause => {
+                seconds = lost_at + 8 + AFTER_LAST;
                 let proxy = rng.random_range(0..proxies);
                 faults.push(Fault::Pause { at_ms: ms(lost_at - 2), for_ms: 10_000, proxy });
                 faults.push(lose(lost_at, 5));
@@ -205,6 +210,7 @@
                 let killed = (proxies * 7).div_ceil(10).min(proxies - 1);
                 let mut chosen: Vec<usize> = all[..killed].to_vec();
                 chosen.sort_unstable();
+                seconds = lost_at + 9 + AFTER_LAST;
                 faults.push(Fault::Kill { at_ms: ms(lost_at), back_ms: 1_000, proxies: chosen });
                 faults.push(lose(lost_at + 4, 5));
             }
--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -164,14 +164,14 @@
 
     /// Tells the fleet's talk how a member did, where it talks: any answer is the member speaking, no connection or
     /// no answer in time is silence, and the rest tells nothing of its zone.
-    fn saw(&self, host: HostId, ending: Ending) {
+    fn saw(&self, host: HostId, sent: Micros, ending: Ending) {
         let (Some(witness), Some(zone)) = (&self.witness, self.sites.get(&host)) else { return };
         let answered = match ending {
             Ending::Ok | Ending::Error | Ending::Miss | Ending::Full => true,
             Ending::ConnectFailed | Ending::Timeout => false,
             Ending::Reset | Ending::Cancelled | Ending::Moot => return,
         };
-        witness.saw(Seen { zone: Rc::clone(zone), member: host.0, answered });
+        witness.saw(Seen { zone: Rc::clone(zone), member: host.0, sent, answered });
     }
 
     /// Works until the process is to end.
@@ -319,7 +319,7 @@
             if self.counts.on() {
                 self.keep_ending(id, host, ending);
             }
-            self.saw(host, ending);
+            self.saw(host, sent, ending);
             let outcome = self.outcome(id, attempt, host, sent, &Report::bare(ending));
             self.route(self.clock.now(), outcome);
         }
@@ -498,7 +498,7 @@
         if self.counts.on() {
             self.keep_ending(id, flight.host, report.ending);
         }
-        self.saw(flight.host, report.ending);
+        self.saw(flight.host, flight.sent, report.ending);
         let outcome = self.outcome(id, attempt, flight.host, flight.sent, &report);
         self.tell(outcome);
     }
@@ -549,7 +549,8 @@
         }
         self.counts.one("probed", if probed.ok { "ok" } else { "failed" }, "");
         self.journal.probed(host, probed.ok);
-        self.saw(host, if probed.ok { Ending::Ok } else { Ending::Timeout });
+        let sent = self.clock.now() - PROBE_TIMEOUT.as_micros() as Micros;
+        self.saw(host, sent, if probed.ok { Ending::Ok } else { Ending::Timeout });
         self.tell(routing::Event::Probed(probed));
     }
 
--- a/crates/transport/src/fleet.rs
+++ b/crates/transport/src/fleet.rs
@@ -28,6 +28,8 @@
     pub zone: Rc<str>,
     /// The member.
     pub member: u32,
+    /// When what it was sent went out.
+    pub sent: Micros,
     /// Whether it spoke at all: any answer, a miss or an error; false where there was no connection or no answer in time.
     pub answered: bool,
 }
@@ -139,7 +141,8 @@
         let now = (parts.now)();
         match woken {
             Woken::Datagram(count) => parts.peers.received(now, &buffer[..count]),
-            Woken::Seen(seen) => parts.zones.observe(now, &seen.zone, seen.member, seen.answered),
+            Woken::Seen(seen) if seen.answered => parts.zones.observe(now, &seen.zone, seen.member, true),
+            Woken::Seen(seen) => parts.zones.silence(now, seen.sent, &seen.zone, seen.member),
             Woken::Time => {}
             Woken::Closed => {
                 parts.peers.leave();
--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -4,6 +4,7 @@
 use super::Stop;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::{Path, PathBuf};
+use wharfplank::fleetrig::schedule::{Scenario, Schedule};
 use wharfplank::incidents::{Incident, Kind};
 use wharfplank::lab::fleet::CLASSES;
 use wharfplank::lab::load::Seen;
@@ -332,6 +333,48 @@
     Ok(())
 }
 
+/// The scenario of a name; a name that there is not is a fault of usage.
+fn named(scenario: &str) -> Result<Scenario, Stop> {
+    let names: Vec<&str> = Scenario::ALL.iter().map(|s| s.name()).collect();
+    Scenario::named(scenario)
+        .ok_or_else(|| Stop(vec![format!("no scenario '{scenario}'; there are {}", names.join(", "))], 2))
+}
+
+/// Plays many seeded runs and adds them up; fails where a rule was broken or a run could not be played.
+pub fn sweep(
+    scenarios: &[String],
+    seeds: std::ops::Range<u64>,
+    proxies: usize,
+    beside: usize,
+    peers: bool,
+    directory: &Path,
+) -> Result<(), Stop> {
+    use wharfplank::fleetrig::sweep::{play_all, sums};
+    let chosen = match scenarios {
+        [] => Scenario::ALL.to_vec(),
+        names => names.iter().map(|name| named(name)).collect::<Result<Vec<_>, _>>()?,
+    };
+    std::fs::create_dir_all(directory).map_err(|e| Stop::failed(format!("{}: {e}", directory.display())))?;
+    let program = std::env::current_exe().map_err(Stop::failed)?;
+    let directory = directory.canonicalize().map_err(Stop::failed)?;
+    let mut all = Vec::new();
+    for scenario in chosen {
+        let schedules = seeds.clone().map(|seed| Schedule::draw(scenario, proxies, seed, peers)).collect();
+        let played = play_all(schedules, &program, &directory, beside);
+        let summed = sums(&played);
+        summed.iter().for_each(|sum| println!("{}", sum.render()));
+        all.extend(summed);
+        // Written after each scenario, so that a long sweep that is stopped leaves what it has.
+        let text = serde_json::to_string_pretty(&all).map_err(Stop::failed)?;
+        std::fs::write(directory.join("sums.json"), text).map_err(Stop::failed)?;
+    }
+    let (broken, failed) = all.iter().fold((0, 0), |(b, f), sum| (b + sum.broken, f + sum.failed.len()));
+    if broken > 0 || failed > 0 {
+        return Err(Stop::failed(format!("{broken} broken rules, {failed} runs not played")));
+    }
+    Ok(())
+}
+
 /// Plays many proxies with faults between them; fails where a rule was broken.
 pub fn fleet(
     scenario: &str,
@@ -341,7 +384,6 @@
     replay: Option<&Path>,
     directory: &Path,
 ) -> Result<(), Stop> {
-    use wharfplank::fleetrig::schedule::{Scenario, Schedule};
     let schedule = match replay {
         Some(path) => {
             let text = std::fs::read_to_string(path)
@@ -349,13 +391,7 @@
             Schedule::read(&text)
                 .map_err(|what| Stop::settings(vec![format!("{}: {what}", path.display())]))?
         }
-        None => {
-            let names: Vec<&str> = Scenario::ALL.iter().map(|s| s.name()).collect();
-            let scenario = Scenario::named(scenario).ok_or_else(|| {
-                Stop(vec![format!("no scenario '{scenario}'; there are {}", names.join(", "))], 2)
-            })?;
-            Schedule::draw(scenario, proxies, seed, peers)
-        }
+        None => Schedule::draw(named(scenario)?, proxies, seed, peers),
     };
     std::fs::create_dir_all(directory).map_err(|e| Stop::failed(format!("{}: {e}", directory.display())))?;
     let program = std::env::current_exe().map_err(Stop::failed)?;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -164,6 +164,34 @@
         #[arg(short, long, value_name = "DIR")]
         out: Option<PathBuf>,
     },
+    /// Play many seeded runs of the fleet's hard cases, some beside each other, and add them up by scenario.
+    #[command(
+        after_help = "Example: wharfplank lab sweep --runs 200 --proxies 3 --beside 16 -o target/sweep\n\
+        Exits 1 where a rule was broken or a run could not be played. Runs with a broken rule keep their files."
+    )]
+    Sweep {
+        /// The scenarios [default: all].
+        #[arg(long = "scenario", value_name = "SCENARIO")]
+        scenarios: Vec<String>,
+        /// Runs of each scenario.
+        #[arg(long, default_value_t = 10)]
+        runs: u64,
+        /// The first seed; the others follow it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many proxies in each run, 3 to 200.
+        #[arg(long, default_value_t = 5)]
+        proxies: usize,
+        /// Runs beside each other.
+        #[arg(long, default_value_t = 4)]
+        beside: usize,
+        /// Proxies do not talk: each decides alone, for comparison.
+        #[arg(long)]
+        alone: bool,
+        /// Where the sums and the files of runs with broken rules go [default: target/sweep].
+        #[arg(short, long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
     /// Add up what proxies did, from their logs: the `counts` lines of level debug and the ended connections.
     #[command(
         after_help = "Example: wharfplank lab tally logs/*.log --by-second refused. --by-second probe."
@@ -224,6 +252,10 @@
         Some(Command::Lab(Lab::Fleet { scenario, proxies, seed, alone, replay, out })) => {
             lab::fleet(&scenario, proxies, seed, !alone, replay.as_deref(), &lab::place(out, "fleet"))
         }
+        Some(Command::Lab(Lab::Sweep { scenarios, runs, seed, proxies, beside, alone, out })) => {
+            let place = lab::place(out, "sweep");
+            lab::sweep(&scenarios, seed..seed.saturating_add(runs), proxies, beside, !alone, &place)
+        }
         Some(Command::Lab(Lab::Incident { timeline, out })) => {
             lab::incident(timeline.as_deref(), &lab::place(out, "incident"))
         }
