--- a/crates/fleetrig/src/check.rs
+++ b/crates/fleetrig/src/check.rs
@@ -3,7 +3,7 @@
 
 use crate::proxies::Plan;
 use crate::schedule::{Fault, Schedule, ZONES};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -16,7 +16,7 @@
 const LOST_NAMED: usize = 20;
 
 /// What a run showed.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The scenario, the seed and the size.
     pub scenario: String,
--- a/crates/fleetrig/src/run.rs
+++ b/crates/fleetrig/src/run.rs
@@ -21,6 +21,9 @@
 /// How long proxies may take to start, and the time before the load in which they find each other.
 const START_MOST: Duration = Duration::from_secs(30);
 const SETTLE: Micros = 4_000_000;
+/// An answer that comes this long after its request's time earns nothing; later, or never, the request is lost: the
+/// platform's rule on its days, kept here so that a machine that is busy for a moment breaks no rule.
+const GRACE: Micros = 500_000;
 const END_MOST: Duration = Duration::from_secs(8);
 
 /// The program under test and where a run keeps its files.
@@ -229,6 +232,7 @@
     let links = Links::start(executor, &stand, &members, proxy_zones).map_err(fault)?;
     let mesh = Mesh::start(executor, schedule.proxies, schedule.seed).map_err(fault)?;
     let load = Load::new(executor, schedule.proxies);
+    load.grace.set(GRACE);
     let mut plans = Vec::new();
     for number in 0..schedule.proxies {
         let discovery = agent::start(executor, &stand, &links, number).map_err(fault)?;
--- a/crates/fleetrig/src/sweep.rs
+++ b/crates/fleetrig/src/sweep.rs
@@ -1,10 +1,10 @@
 //! Many runs of the rig, some beside each other, added up by scenario: what seeded runs show that one does not.
 
 use crate::check::Report;
-use crate::run::{play, Place};
 use crate::schedule::{Scenario, Schedule};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 
@@ -16,7 +16,7 @@
 /// What one run of a sweep came to: its report, or why it could not be played.
 pub type Played = (Schedule, Result<Report, String>);
 
-/// Plays the schedules, `beside` at a time, each in a directory of its own below `directory`; those without a broken
+/// Plays the schedules, `beside` at a time, each as a process of its own (`lab fleet --replay`) in a directory of its own below `directory`; those without a broken
 /// rule leave nothing behind. The reports come in the order of the schedules.
 pub fn play_all(schedules: Vec<Schedule>, program: &Path, directory: &Path, beside: usize) -> Vec<Played> {
     let schedules: Vec<Schedule> = schedules.into_iter().take(RUNS_MOST).collect();
@@ -27,10 +27,10 @@
             scope.spawn(|| loop {
                 let number = next.fetch_add(1, Ordering::Relaxed);
                 let Some(schedule) = schedules.get(number) else { return };
-                let place = Place { program: program.to_path_buf(), directory: of(directory, schedule) };
-                let report = play(schedule, &place);
+                let place = of(directory, schedule);
+                let report = play_one(schedule, program, &place);
                 if report.as_ref().is_ok_and(|r| r.broken == 0) {
-                    let _ = std::fs::remove_dir_all(&place.directory);
+                    let _ = std::fs::remove_dir_all(&place);
                 }
                 if let Ok(mut reports) = reports.lock() {
                     reports[number] = Some(report);
@@ -43,6 +43,22 @@
     schedules.into_iter().zip(reports).map(|(s, r)| (s, r.unwrap_or_else(unplayed))).collect()
 }
 
+/// Plays one schedule as a process; what it printed is in `run.txt`, and its report is read back.
+fn play_one(schedule: &Schedule, program: &Path, place: &Path) -> Result<Report, String> {
+    let fault = |e: std::io::Error| format!("{}: {e}", place.display());
+    std::fs::create_dir_all(place).map_err(fault)?;
+    let (drawn, report) = (place.join("drawn.json"), place.join("report.json"));
+    let text = serde_json::to_string_pretty(schedule).map_err(|e| e.to_string())?;
+    std::fs::write(&drawn, text).map_err(fault)?;
+    let said = std::fs::File::create(place.join("run.txt")).map_err(fault)?;
+    let mut command = Command::new(program);
+    command.args(["lab", "fleet", "--replay"]).arg(&drawn).arg("--out").arg(place);
+    let status = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(said).status().map_err(fault)?;
+    let text = std::fs::read_to_string(&report)
+        .map_err(|_| format!("the run ended with {status}; see {}", place.join("run.txt").display()))?;
+    serde_json::from_str(&text).map_err(|e| format!("{}: {e}", report.display()))
+}
+
 /// Where a schedule's run keeps its files.
 fn of(directory: &Path, schedule: &Schedule) -> PathBuf {
     let talk = if schedule.peers { "" } else { "-alone" };
