--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -431,7 +431,7 @@
         }
     }
 
-    /// What other routers learned: a position is a lower bound and no sign of life; a member suspected elsewhere
+    /// What other routers learned: a position is a lower bound and no sign of life; a member suspected there
     /// is doubted as by one refused connection, unless it has answered here since.
     fn told(&mut self, told: &[Told]) {
         for t in told {
