--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -51,6 +51,7 @@
 //!     key: None,
 //!     give_up_at: now + 500_000,
 //!     write_age: None,
+//!     doubted: false,
 //! };
 //! router.handle(now, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { host: HostId(11), .. })));
