--- a/crates/fleetrig/src/proxies.rs
+++ b/crates/fleetrig/src/proxies.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use wharfplank_lab::fleet::CLASSES;
-use wharfplank_replica::{Replica, Terms};
+use wharfplank_replica::{named, Replica, Terms};
 
 /// What a proxy's log said that the rig must know at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,9 +66,7 @@
         let mut old = Replica::new(0, Terms::default(), 0, now - hour);
         for name in self.known.get("hosts").and_then(Value::as_array).into_iter().flatten() {
             let name = name.get("host").and_then(Value::as_str).unwrap_or_default();
-            let member = name
-                .bytes()
-                .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+            let member = named(name);
             old.suspects(now - hour, member, true);
             old.position(now - hour, member, 0, now + hour);
         }
--- a/crates/program/src/broker.rs
+++ b/crates/program/src/broker.rs
@@ -677,6 +677,6 @@
 }
 
 /// FNV-1a.
-pub(super) fn hash(bytes: &[u8]) -> u64 {
+fn hash(bytes: &[u8]) -> u64 {
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
 }
--- a/crates/program/src/talk.rs
+++ b/crates/program/src/talk.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use wharfplank_protocol::catalog::Host;
 use wharfplank_protocol::pipeline::Answer;
-use wharfplank_replica::{Doubt, News};
+use wharfplank_replica::{named, Doubt, News};
 use wharfplank_routing::{Class, ClassId, Effect, Ending, HostId, Micros, RequestId, Told};
 use wharfplank_transport::fleet::{Seen, Witness};
 
@@ -64,7 +64,7 @@
         if self.witness.is_none() {
             return;
         }
-        let (key, born_ms) = (super::broker::hash(listed.name.as_bytes()), listed.born_ms);
+        let (key, born_ms) = (named(&listed.name), listed.born_ms);
         let old = self.sites.get(&host).map(|site| &site.zone).filter(|zone| ***zone == *listed.site);
         let zone = old.map_or_else(|| Rc::from(listed.site.as_str()), Rc::clone);
         self.sites.insert(host, Site { zone, key, born_ms });
@@ -138,20 +138,20 @@
     pub fn in_doubt(&self, now: Micros, id: &str) -> bool {
         let Some(witness) = &self.witness else { return false };
         let waking = self.woke_at.is_some_and(|at| now - at < WAKING);
-        waking || witness.in_doubt(super::broker::hash(id.as_bytes()))
+        waking || witness.in_doubt(named(id))
     }
 
     /// A request has failed after so many attempts: one that must not run twice may have run.
     pub fn failed(&self, now: Micros, class: ClassId, attempts: u32, id: &str) {
         if attempts > 0 && self.fragile.get(class.0) == Some(&true) {
-            self.doubt(now, super::broker::hash(id.as_bytes()), Doubt::Open);
+            self.doubt(now, named(id), Doubt::Open);
         }
     }
 
     /// A client went away with an attempt of its request out: it may run, and its end is awaited.
     pub fn gone(&mut self, now: Micros, request: RequestId, class: ClassId, id: &str) {
         if self.witness.is_some() && self.fragile.get(class.0) == Some(&true) {
-            let write = super::broker::hash(id.as_bytes());
+            let write = named(id);
             self.left.insert(request, write);
             self.doubt(now, write, Doubt::Open);
         }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -52,6 +52,11 @@
 /// What a frame adds to a datagram of the membership.
 pub const FRAME_BYTES: usize = 3;
 
+/// The number by which all proxies know a member or a write, from its name.
+pub fn named(name: &str) -> u64 {
+    twox_hash::XxHash3_64::oneshot(name.as_bytes())
+}
+
 /// A datagram of the membership (or none) with a message behind it.
 pub fn frame(membership: &[u8], message: &[u8]) -> Vec<u8> {
     let mut out = Vec::with_capacity(FRAME_BYTES + membership.len() + message.len());
