--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -15,17 +15,17 @@
 //! let mut now = 0;
 //! for member in [1, 2, 1, 2] {
 //!     now += 100_000;
-//!     zones.observe(now, "isando", member, false);
+//!     zones.observe(now, "b", member, false);
 //! }
-//! assert_eq!(zones.own("isando", now), Opinion::Down);
+//! assert_eq!(zones.own("b", now), Opinion::Down);
 //! // Two peers that hear this proxy saw the same: a quorum of three.
 //! for peer in [7, 8] {
-//!     zones.heard(now, peer, (1, 1), &[("isando".to_string(), Opinion::Down)]);
+//!     zones.heard(now, peer, (1, 1), &[("b".to_string(), Opinion::Down)]);
 //! }
 //! zones.alive(now, [7, 8].into_iter());
 //! assert!(zones.decide(now));
-//! assert_eq!(zones.standing("isando"), Standing::Left { since: now });
-//! assert_eq!(zones.share("isando", now), 0.0);
+//! assert_eq!(zones.standing("b"), Standing::Left { since: now });
+//! assert_eq!(zones.share("b", now), 0.0);
 //! ```
 
 mod evidence;
--- a/crates/fleetrig/src/health.rs
+++ b/crates/fleetrig/src/health.rs
@@ -76,8 +76,7 @@
     }
     for d in done {
         let in_time = d.seen == Seen::Served && d.at - d.due <= CLASSES[d.class].aim;
-        if slow.iter().any(|(from, to, _)| (*from..*to).contains(&d.due))
-            && CLASSES[d.class].name != "pay-write"
+        if slow.iter().any(|(from, to, _)| (*from..*to).contains(&d.due)) && CLASSES[d.class].name != "write"
         {
             health.reads += 1;
             health.late += u64::from(!in_time);
--- a/crates/fleetrig/src/proxies.rs
+++ b/crates/fleetrig/src/proxies.rs
@@ -80,7 +80,7 @@
         let classes: Vec<Value> = CLASSES
             .iter()
             .map(|c| {
-                let repeat = if c.name == "pay-write" { "fragile" } else { "retryable" };
+                let repeat = if c.name == "write" { "fragile" } else { "retryable" };
                 json!({"Name": c.name, "TargetUs": c.aim, "DeadlineUs": c.wait, "Repeat": repeat, "Worth": c.worth,
                        "LateValue": c.late})
             })
--- a/crates/fleetrig/src/relay/links.rs
+++ b/crates/fleetrig/src/relay/links.rs
@@ -150,7 +150,7 @@
             let mut breaks = false;
             if asks {
                 for class in parse.feed(&buffer[..count]) {
-                    breaks |= wharfplank_lab::fleet::CLASSES[class].name == "pay-write" && self.breaks();
+                    breaks |= wharfplank_lab::fleet::CLASSES[class].name == "write" && self.breaks();
                     let primary = self.stand.fleet().members.get(member).is_some_and(|m| m.primary);
                     let way = Way { class, near, troubled: self.troubled.get(), primary };
                     *self.ways.borrow_mut().entry(way).or_default() += 1;
--- a/crates/fleetrig/src/worth.rs
+++ b/crates/fleetrig/src/worth.rs
@@ -55,8 +55,8 @@
         let from = self.looks.partition_point(|(at, ..)| *at + LOOK_EVERY < done.due);
         let waits = self.looks[from..].iter().take_while(|(at, ..)| *at <= done.due + class.wait);
         let able = |at: Micros, state: &State| match (class.name, done.after_ms) {
-            ("pay-write", _) => state.primary,
-            ("lookup", _) => state.primary || state.position >= at - BOUND,
+            ("write", _) => state.primary,
+            ("bounded-read", _) => state.primary || state.position >= at - BOUND,
             (_, Some(after)) => state.primary || state.position >= after * 1000,
             _ => true,
         };
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -173,7 +173,7 @@
         let draw = -(1.0 - self.rng.random::<f64>()).ln();
         let capacity = self.capacity(member);
         let now = self.now;
-        let write = CLASSES[class].name == "pay-write";
+        let write = CLASSES[class].name == "write";
         if write && !self.members[member].primary {
             return Verdict::Miss;
         }
@@ -197,7 +197,7 @@
         m.fallen |= part > 1.0 && m.arrivals.len() > 10;
         let position = m.position as Micros;
         let stale = match (CLASSES[class].name, after_ms) {
-            ("lookup", _) => !m.primary && position < now - BOUND - SLACK,
+            ("bounded-read", _) => !m.primary && position < now - BOUND - SLACK,
             (_, Some(after)) if !write => !m.primary && position < after * 1000,
             _ => false,
         };
@@ -213,7 +213,7 @@
         *core = now.max(*core) + work as Micros;
         member.held += 1;
         member.writes += u64::from(write);
-        member.long += usize::from(CLASSES[class].name == "run-report");
+        member.long += usize::from(CLASSES[class].name == "report");
         Verdict::At(*core)
     }
 
@@ -221,7 +221,7 @@
     pub fn done(&mut self, member: usize, class: usize) {
         let member = &mut self.members[member];
         member.held -= 1;
-        member.long -= usize::from(CLASSES[class].name == "run-report");
+        member.long -= usize::from(CLASSES[class].name == "report");
     }
 
     /// A member's position, rounded down to milliseconds.
--- a/crates/lab/src/fleet/class.rs
+++ b/crates/lab/src/fleet/class.rs
@@ -24,7 +24,7 @@
 /// The classes, in the order of the configuration.
 pub const CLASSES: [Class; 4] = [
     Class {
-        name: "lookup",
+        name: "bounded-read",
         part: 0.455,
         work: 20_000.0,
         aim: 300_000,
@@ -33,7 +33,7 @@
         late: 0.2,
     },
     Class {
-        name: "own-edit-read",
+        name: "session-read",
         part: 0.41,
         work: 20_000.0,
         aim: 300_000,
@@ -42,7 +42,7 @@
         late: 0.0,
     },
     Class {
-        name: "run-report",
+        name: "report",
         part: 0.005,
         work: 300_000.0,
         aim: 7_500_000,
@@ -51,7 +51,7 @@
         late: 0.2,
     },
     Class {
-        name: "pay-write",
+        name: "write",
         part: 0.13,
         work: 20_000.0,
         aim: 1_000_000,
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -80,7 +80,7 @@
             });
             let class = class.unwrap_or(0);
             let (proxy, group) = (rng.random_range(0..self.proxies.len()), rng.random_range(0..groups));
-            let wrote = (CLASSES[class].name == "own-edit-read" && rng.random::<f64>() < 0.6)
+            let wrote = (CLASSES[class].name == "session-read" && rng.random::<f64>() < 0.6)
                 .then(|| due / 1000 - 400);
             if self.open.get() >= OPEN {
                 self.held_back.set(self.held_back.get() + 1);
@@ -106,7 +106,7 @@
                         at: now(),
                         seen,
                     });
-                    if CLASSES[class].name == "pay-write" && seen == Seen::Failed {
+                    if CLASSES[class].name == "write" && seen == Seen::Failed {
                         load.ask_again(proxy, number, &text).await;
                     }
                     load.open.set(load.open.get() - 1);
--- a/crates/lab/src/load/wire.rs
+++ b/crates/lab/src/load/wire.rs
@@ -35,7 +35,7 @@
     let (name, wait, key) = (class.name, class.wait / 1000, number % 997);
     let head = format!("/* id={number:x},c={name},d={wait},cluster={group}{after} */");
     match name {
-        "pay-write" => {
+        "write" => {
             format!("{head} INSERT INTO entries (ref, payload) VALUES ('{key:x}', '\\x9f') RETURNING payload")
         }
         _ => format!("{head} SELECT payload FROM entries WHERE ref = '{key:x}'"),
--- a/crates/lab/src/run/configure.rs
+++ b/crates/lab/src/run/configure.rs
@@ -17,7 +17,7 @@
     let classes: Vec<_> = CLASSES
         .iter()
         .map(|c| {
-            let repeat = if c.name == "pay-write" { "fragile" } else { "retryable" };
+            let repeat = if c.name == "write" { "fragile" } else { "retryable" };
             json!({"Name": c.name, "TargetUs": c.aim, "DeadlineUs": c.wait, "Repeat": repeat, "Worth": 1.0, "LateValue": 0.2})
         })
         .collect();
--- a/crates/lab/src/stand.rs
+++ b/crates/lab/src/stand.rs
@@ -192,7 +192,7 @@
             .iter()
             .zip(addresses.iter())
             .map(|(m, dial)| {
-                json!({"host": m.name, "dial": dial.to_string(), "site": m.zone, "class": "std-4",
+                json!({"host": m.name, "dial": dial.to_string(), "site": m.zone, "class": "m4",
                        "block": m.group, "health": if m.drains { "leaving" } else { "active" }, "share": 1.0,
                        "born_ms": m.born / 1000, "role": if m.primary { "primary" } else { "replica" }})
             })
--- a/crates/lab/src/trials.rs
+++ b/crates/lab/src/trials.rs
@@ -26,7 +26,7 @@
         let (mut store, _) = Store::open(directory, &name, LIMITS, start).map_err(|e| e.to_string())?;
         let mut records =
             vec![(start, Record::Proxy { zone: ["a", "b", "c"][proxy as usize % 3].to_string() })];
-        for (class, name) in ["lookup", "own-edit-read", "run-report", "pay-write"].iter().enumerate() {
+        for (class, name) in ["bounded-read", "session-read", "report", "write"].iter().enumerate() {
             let record = Record::Class { class: class as u16, name: name.to_string(), aim: 300_000 };
             records.push((start, record));
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,8 +10,8 @@
 //! ```
 //! use wharfplank_peers::{Peer, Peers, Terms};
 //!
-//! let a = Peer::new("127.0.0.1:7001".parse().unwrap(), "midrand", 1);
-//! let b = Peer::new("127.0.0.1:7002".parse().unwrap(), "isando", 1);
+//! let a = Peer::new("127.0.0.1:7001".parse().unwrap(), "a", 1);
+//! let b = Peer::new("127.0.0.1:7002".parse().unwrap(), "b", 1);
 //! let (mut one, mut two) = (Peers::new(a.clone(), Terms::default(), 1, 0), Peers::new(b, Terms::default(), 2, 0));
 //! one.join(&["127.0.0.1:7002".parse().unwrap()], 0);
 //! for now in (0..3_000_000).step_by(10_000) {
