Repeats of what may have run are written within the window too, not only decided in it

Seen: tests/repeat.rs. A write with effect `dedup` whose first attempt may have run was sent again with no end of its own: `held.rs`, `dispatch`, checks the window when it decides, but `send` passed on no time by which the send has to be out, so that one that then waited for a connection (up to ConnectTimeoutUs) or for the check of an idle one (100 ms) could have its first byte after the window, where members have forgotten the first: it would run twice. Ruled out by the same tests: the window counts from the decision on the first attempt that may have run, which is before its first byte; a later repeat or the end of one that was never sent does not move it; a window shorter than an attempt leaves no repeat, and a refusal only where any member recognises repeats.

Change: `Router::repeat_ends` gives the window's end to `dispatch` and, as `holds_until`, to the send; what is not written by then ends as never sent.

--- a/crates/routing/src/api/actions.rs
+++ b/crates/routing/src/api/actions.rs
@@ -79,7 +79,8 @@
         host: HostId,
         /// Its time-out.
         timeout: Micros,
-        /// The send's last byte must be out by then, or the member may be too far behind for it.
+        /// The send's last byte must be out by then, or the member may be too far behind for it, or may not
+        /// recognise it any more as a repeat of what has run.
         holds_until: Option<Micros>,
     },
     /// Final answer: a further try is harmless.
--- a/crates/routing/src/api/events.rs
+++ b/crates/routing/src/api/events.rs
@@ -139,6 +139,9 @@
     Timer,
     /// The client is gone; nothing more is owed.
     Gone(RequestId),
+    /// The router's process ends: nothing is sent any more. [`Event::Close`] follows once what was
+    /// not written whole has been taken back.
+    Closing,
     /// The router's process ends: what is still open is given up now.
     Close,
     /// The part of the reads that members of each zone named may take, from 0 to 1, as the fleet decided in common;
--- a/crates/routing/src/policy/held.rs
+++ b/crates/routing/src/policy/held.rs
@@ -41,12 +41,11 @@
     pub(super) fn dispatch(&mut self, id: RequestId) {
         let Some(p) = self.pending.get(&id).filter(|p| p.flying.is_none()) else { return };
         let class = &self.settings.classes[p.asked.class.0];
-        let repeat_ends = match (class.effect, p.ran_at) {
-            (Effect::Unsafe, Some(_)) => return self.give_up(id, Reason::MayHaveRun),
-            (Effect::Keyed { window, .. }, Some(ran)) => ran.saturating_add(window) - SWEEP,
-            _ => Micros::MAX,
-        };
-        let left = p.until.min(repeat_ends).saturating_sub(self.now) as f64;
+        if self.closing || (class.effect == Effect::Unsafe && p.ran_at.is_some()) {
+            return self.give_up(id, if self.closing { Reason::Closing } else { Reason::MayHaveRun });
+        }
+        let until = p.until.min(Self::repeat_ends(p, class.effect).unwrap_or(Micros::MAX));
+        let left = until.saturating_sub(self.now) as f64;
         // One that no member has seen is told early, while coming back is still worth the client's time.
         let waited = (self.now - p.arrived) as f64 / (p.asked.give_up_at - p.arrived).max(1) as f64;
         let unseen = !p.reached && waited > HELD_MOST;
@@ -72,6 +71,12 @@
         }
     }
 
+    /// Until when a repeat of what may have run is recognised.
+    fn repeat_ends(p: &Pending, effect: Effect) -> Option<Micros> {
+        let Effect::Keyed { window, .. } = effect else { return None };
+        Some(p.ran_at?.saturating_add(window) - SWEEP)
+    }
+
     fn send(&mut self, id: RequestId, host: HostId) {
         let (now, budget) = (self.now, self.budget(&self.members[&host]));
         let (Some(p), Some(m)) = (self.pending.get_mut(&id), self.members.get_mut(&host)) else { return };
@@ -81,11 +86,13 @@
         p.flying = Some(host);
         p.probed = None;
         (m.budget, m.budget_at) = (budget - 1.0, now);
+        let class = &self.settings.classes[class.0];
         // A bound counts from the last byte sent, and the position ages until then; the primary's does not.
-        let holds_until = match self.settings.classes[class.0].consistency {
+        let fresh_until = match class.consistency {
             Consistency::Bounded(bound) if m.primary_at <= m.replica_at => Some(m.position + bound),
             _ => None,
         };
+        let holds_until = fresh_until.into_iter().chain(Self::repeat_ends(p, class.effect)).min();
         self.out.push(Action::Send { id, host, timeout: (p.until - now).max(1), holds_until });
     }
 
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -126,7 +126,8 @@
     shares: Option<BTreeMap<u32, f64>>,
     /// What the latency of members that the fleet does not hold sound is multiplied by.
     factors: BTreeMap<HostId, f64>,
-    once: bool, // A budget bars attempts beyond the first.
+    once: bool,    // A budget bars attempts beyond the first.
+    closing: bool, // Nothing is sent any more.
     usual: Vec<f64>,
     /// Usual worth for a microsecond of work.
     density: f64,
@@ -171,6 +172,7 @@
             Event::Shares(shares) => self.shares = Some(shares.into_iter().collect()),
             Event::Told(told) => self.told(&told),
             Event::Factors(factors) => self.factors = factors.into_iter().collect(),
+            Event::Closing => self.closing = true,
             Event::Close => {
                 let open: Vec<RequestId> = self.pending.keys().copied().collect();
                 open.into_iter().for_each(|id| self.give_up(id, Reason::Closing));
