Attempts' times count from the decision, and what was never written whole is refused at the end

Ruled out: a connection that comes up late told no more than was left before, too, and what waits for its connection past its deadline or its reason ends as never sent.

Change: an attempt is given its deadline and the end of its reason as points in time, both counted from the time of the router's decision (`Broker::route`, `perform`, `send`). `Stage::Written` tells an attempt whose last byte is out from one that has only begun. `Broker::end` ends the latter as never sent, whoever takes it back, and `give_up`, at the process's end, stops further sends, takes such attempts back and only then gives up the rest.

--- a/crates/program/src/broker/attempts.rs
+++ b/crates/program/src/broker/attempts.rs
@@ -1,5 +1,6 @@
 //! The router's actions, and the attempts and probes that come of them.
 
+use super::probes::role;
 use super::*;
 
 /// An attempt that is out.
@@ -28,7 +29,7 @@
         let mut actions = Vec::new();
         self.bar_retries(now, &mut actions);
         self.router.handle(now, event, &mut actions);
-        self.perform(actions);
+        self.perform(now, actions);
     }
 
     /// Tells the router of the attempts that ended at once, until none is left.
@@ -45,10 +46,13 @@
         self.settle_probes();
     }
 
-    pub(super) fn perform(&mut self, actions: Vec<Action>) {
+    /// Carries out what the router decided at this time.
+    pub(super) fn perform(&mut self, now: Micros, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { id, host, timeout, holds_until } => self.send(id, host, timeout, holds_until),
+                Action::Send { id, host, timeout, holds_until } => {
+                    self.send(now, (id, host), timeout, holds_until)
+                }
                 Action::Refuse { id, retry_after, reason } => {
                     self.count(id, "refused", recorded(reason).name());
                     self.note_end(id, |journal, ended| journal.given_up(ended, true, reason));
@@ -74,8 +78,14 @@
         }
     }
 
-    pub(super) fn send(&mut self, id: RequestId, host: HostId, timeout: Micros, holds_until: Option<Micros>) {
-        let now = self.clock.now();
+    /// Begins an attempt that was decided at `now`: all its times count from then.
+    fn send(
+        &mut self,
+        now: Micros,
+        (id, host): (RequestId, HostId),
+        timeout: Micros,
+        holds_until: Option<Micros>,
+    ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts += 1;
@@ -90,11 +100,11 @@
             return;
         };
         let stage: Rc<Cell<Stage>> = Rc::default();
-        let span = |micros: Micros| Duration::from_micros(micros.max(0) as u64);
         let holds = holds_until.map(|until| until + SEND_MARGIN - WRITE_MARGIN);
-        let holds = holds.into_iter().chain(leave).min().map(|until| span(until - now));
+        let holds = holds.into_iter().chain(leave).min().map(|until| self.clock.instant(until));
+        let deadline = self.clock.instant(now.saturating_add(timeout));
         let (member, statement) = (Rc::clone(member), Rc::clone(&open.statement));
-        let work = member.attempt(statement, Rc::clone(&stage), span(timeout), holds);
+        let work = member.attempt(statement, Rc::clone(&stage), deadline, holds);
         let (events, done) = (self.events.clone(), Rc::clone(&stage));
         let task = self.shared.executor.spawn(async move {
             let (report, stream) = work.await;
@@ -110,11 +120,14 @@
     }
 
     /// Ends an attempt from this side: its connection closes. One whose report is on the way keeps it: a
-    /// value that has arrived is not thrown away.
+    /// value that has arrived is not thrown away. One that was not written whole never ran.
     pub(super) fn end(&mut self, id: RequestId, attempt: u32, ending: Ending) {
-        if self.flights.get(&(id, attempt)).is_some_and(|f| f.stage.get() == Stage::Done) {
-            return;
-        }
+        let stage = self.flights.get(&(id, attempt)).map(|f| f.stage.get());
+        let ending = match stage {
+            Some(Stage::Done) => return,
+            Some(Stage::Waiting | Stage::Begun) => Ending::Moot,
+            _ => ending,
+        };
         if let Some(flight) = self.flights.remove(&(id, attempt)) {
             drop(flight.task);
             self.counts.one("attempt", counts::ending(ending), "");
@@ -124,6 +137,19 @@
         }
     }
 
+    /// Gives up all that is open, at the process's end. Attempts that were not written whole are taken back first:
+    /// they never ran, so their requests are refused.
+    pub(super) fn give_up(&mut self) {
+        self.tell(routing::Event::Closing);
+        let unsent =
+            self.flights.iter().filter(|(_, f)| matches!(f.stage.get(), Stage::Waiting | Stage::Begun));
+        let mut unsent: Vec<_> = unsent.map(|(key, _)| *key).collect();
+        unsent.sort_unstable();
+        unsent.into_iter().for_each(|(id, attempt)| self.end(id, attempt, Ending::Moot));
+        self.settle();
+        self.tell(routing::Event::Close);
+    }
+
     pub(super) fn attempt_ended(&mut self, id: RequestId, attempt: u32, mut report: Report) {
         if report.flow.is_some() {
             return self.began(id, attempt, report);
@@ -180,52 +206,4 @@
             position: position.filter(|at| (1..=latest).contains(at)),
         })
     }
-
-    pub(super) fn probe(&mut self, host: HostId) {
-        let Some(member) = self.members.get(&host) else { return };
-        if self.shared.budgets.as_ref().is_some_and(|budgets| !budgets.probe(member.name())) {
-            return self.barred.probes.push_back(host);
-        }
-        let (member, events) = (Rc::clone(member), self.events.clone());
-        let task = async move {
-            let report = member.probe(PROBE_TIMEOUT).await;
-            let _ = events.send(Event::Probed { host, report }).await;
-        };
-        self.shared.executor.spawn(task).detach();
-    }
-
-    pub(super) fn probed(&mut self, host: HostId, report: Option<String>) {
-        // A report that cannot be read, or is ahead of the clock, counts as none.
-        let values = report.as_deref().and_then(|text| client::report(text, &self.terms.columns));
-        let ok = values.is_some();
-        let mut probed = Probed { host, ok, role: None, position: None, queue: None };
-        for (name, value) in values.unwrap_or_default() {
-            match name {
-                "x0" => {
-                    let at = client::seconds(value);
-                    probed.ok &= at.is_some_and(|at| at <= self.clock.now() + AHEAD_MOST);
-                    probed.position = at.filter(|at| *at > 0);
-                }
-                "x1" => probed.role = value.parse().ok().map(|v: f64| role(v >= 0.5)),
-                "q" | "queue" => probed.queue = value.parse().ok(),
-                _ => {}
-            }
-        }
-        self.counts.one("probed", if probed.ok { "ok" } else { "failed" }, "");
-        self.journal.probed(host, probed.ok);
-        let told = probed.position.filter(|_| probed.ok);
-        self.talk.learned(self.clock.now(), host, told);
-        self.lookups.learned(host, told);
-        let sent = self.clock.now() - PROBE_TIMEOUT.as_micros() as Micros;
-        self.talk.saw(host, sent, if probed.ok { Ending::Ok } else { Ending::Timeout });
-        self.tell(routing::Event::Probed(probed));
-    }
-}
-
-fn role(primary: bool) -> Role {
-    if primary {
-        Role::Primary
-    } else {
-        Role::Replica
-    }
 }
--- a/crates/program/src/broker/budgets.rs
+++ b/crates/program/src/broker/budgets.rs
@@ -43,7 +43,7 @@
     pub(super) fn break_off(&mut self) {
         let over: Vec<(HostId, u64)> = self.members.iter().map(|(host, m)| (*host, m.excess().1)).collect();
         for (host, overdue) in over.into_iter().filter(|(_, overdue)| *overdue > 0) {
-            let here = |f: &Flight| f.host == host && f.stage.get() == Stage::Begun;
+            let here = |f: &Flight| f.host == host && matches!(f.stage.get(), Stage::Begun | Stage::Written);
             let out = self.flights.iter().filter(|(_, f)| here(f)).map(|(key, f)| (f.sent, *key));
             let mut out: Vec<_> = out.collect();
             out.extend(self.passing.at(host));
--- a/crates/program/src/broker/course.rs
+++ b/crates/program/src/broker/course.rs
@@ -106,7 +106,7 @@
         }
         if !self.gave_up && now >= leaving_at + give_up_after(self.terms.longest) {
             self.gave_up = true;
-            self.tell(routing::Event::Close);
+            self.give_up();
         }
     }
 
--- a/crates/program/src/broker/mod.rs
+++ b/crates/program/src/broker/mod.rs
@@ -7,6 +7,7 @@
 mod lookups;
 mod operators;
 mod passing;
+mod probes;
 mod replacement;
 mod requests;
 mod roster;
@@ -185,7 +186,7 @@
     pub async fn run(mut self, known: Catalog, received: Receiver<Event>, operators: Receiver<Asking>) {
         let mut actions = Vec::new();
         self.router.start(&mut actions);
-        self.perform(actions);
+        self.perform(self.clock.now(), actions);
         // The list as last known may be old, but nothing else is known yet: it counts as whole.
         self.list(Catalog { whole: true, ..known });
         self.recall();
--- a/crates/transport/src/members.rs
+++ b/crates/transport/src/members.rs
@@ -63,8 +63,10 @@
     /// Nothing is written yet.
     #[default]
     Waiting,
-    /// Some of it may be written.
+    /// Some of it may be written, but not its last byte: closed now, it never runs.
     Begun,
+    /// All of it is written: it may have run.
+    Written,
     /// It has ended, and its report is on the way.
     Done,
 }
--- a/crates/transport/src/members/attempt.rs
+++ b/crates/transport/src/members/attempt.rs
@@ -16,19 +16,19 @@
 const PASS_MOST: Duration = Duration::from_secs(60);
 
 impl Member {
-    /// Sends a statement and waits for its answer. `holds` is how long the reason for the send holds:
-    /// what is not written by then is ended as never sent.
+    /// Sends a statement and waits for its answer until `deadline`, which is told to the member as what is left of
+    /// it. The reason for the send holds until `holds`: what is not written by then is ended as never sent. Both are
+    /// points in time and count from the decision, however late the attempt starts or finds a connection.
     ///
-    /// Of a long value the report tells as soon as it has begun: the time-out covers its first bytes, and the
+    /// Of a long value the report tells as soon as it has begun: the deadline covers its first bytes, and the
     /// [`Stream`] is to be passed on after the report.
     pub async fn attempt(
         self: Rc<Self>,
         statement: Rc<Statement>,
         stage: Rc<Cell<Stage>>,
-        timeout: Duration,
-        holds: Option<Duration>,
+        deadline: Instant,
+        holds: Option<Instant>,
     ) -> (Report, Option<Stream>) {
-        let deadline = Instant::now() + timeout;
         let write = |out: &mut Vec<u8>| {
             let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
             statement.write(out, left as i64);
@@ -50,11 +50,11 @@
         write: impl FnOnce(&mut Vec<u8>),
         stage: &Cell<Stage>,
         deadline: Instant,
-        holds: Option<Duration>,
+        holds: Option<Instant>,
         count: Option<&Figures>,
     ) -> (Report, Option<Stream>) {
         let start = Instant::now();
-        let until = holds.map_or(deadline, |span| deadline.min(start + span));
+        let until = holds.map_or(deadline, |at| deadline.min(at));
         let mut connection = match self.have(start, until).await {
             Ok(connection) => connection,
             Err(ending) => return bare(ending),
@@ -65,7 +65,10 @@
         let idle = connection.used.elapsed();
         let message = client::query(write);
         match within(until, connection.stream.write_all(&message)).await {
-            Some(Ok(())) => count.into_iter().for_each(Figures::dispatched),
+            Some(Ok(())) => {
+                stage.set(Stage::Written);
+                count.into_iter().for_each(Figures::dispatched);
+            }
             // Broken before the last byte: it never ran. Cut off by the clock: it was never whole.
             Some(Err(_)) => {
                 connection.reason = "reset";
