A connection that stood idle for its time carries nothing more, also between two looks at its pool

Seen: member_ends.rs, one_that_stood_idle_for_its_time_is_not_used. Idle connections were retired only once a second (`Member::tend`), and `take` asks an empty query first only of those idle for 0.5 s: where the settings have members close idle connections sooner than that, one at its limit took a request with it, which then may have run.

Measured: the test failed without the change (the request went out on the old connection) and passes with it. The other seven tests of member_ends.rs force leads that are ruled out and passed before: a close or reset after the last byte, alone, behind half an answer or behind a whole error; half an answer and then nothing; a statement of 32 MiB cut by a reset or by the proxy; an answer to what was given up; an idle connection that spoke or ended; a reset under a second request; a connection later than its time.

--- a/crates/transport/src/members/pool.rs
+++ b/crates/transport/src/members/pool.rs
@@ -145,6 +145,11 @@
                 continue;
             }
             let (used, idle) = (connection.used, connection.used.elapsed());
+            // Pools are tended now and then, and a member may close sooner than the next time.
+            if idle >= self.shared.idle_most {
+                connection.end("retired");
+                continue;
+            }
             self.top_up();
             if idle < self.shared.check_after.get() {
                 return Some(connection);
