--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,8 +17,12 @@
 //! assert_eq!(desk.next(10_000).ask, Ask::Watch { seq: 7 });
 //! ```
 
+mod call;
 mod desk;
+mod news;
 mod pace;
 
-pub use desk::{Age, Ask, Call, Desk, Doubt, News};
+pub use call::{Ask, Call};
+pub use desk::Desk;
+pub use news::{Age, Doubt, News};
 pub use pace::{Pace, Shared};
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -1,24 +1,20 @@
 //! The watch on discovery: carries out the calls that `membership` asks for, on one connection after the other, and
 //! a second one beside a call that may hang.
 
+mod call;
 mod connection;
 
 use super::budgets::Budgets;
 use super::{within, Ends, Event, Now};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
-use async_io::{Async, Timer};
-use connection::{Connection, Line};
-use futures_lite::future;
+use async_io::Timer;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use wharfplank_membership::{Age, Ask, Call, Desk, News};
-use wharfplank_protocol::catalog::{self, Catalog};
-use wharfplank_protocol::http;
-use wharfplank_routing::Micros;
+use wharfplank_membership::{Age, Desk, News};
 
 /// A call that the fleet's budget does not allow is tried again so much later.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
@@ -85,7 +81,7 @@
             let call = self.desk.borrow_mut().next((self.now)());
             let pause = Duration::from_micros((call.at - (self.now)()).max(0) as u64);
             if !pause.is_zero() {
-                Timer::after(pause).await;
+                self.attended(Timer::after(pause)).await;
             }
             while !self.may_call() {
                 self.attended(Timer::after(ASK_AGAIN)).await;
@@ -134,89 +130,4 @@
             }
         }
     }
-
-    /// One call, and a second beside it where the first stays silent. What answers first counts; a failure counts
-    /// once both have failed.
-    async fn call(&self, kept: Option<Connection>, call: &Call) -> Option<(Catalog, Option<Connection>)> {
-        let begun = Instant::now();
-        let span = |micros: Micros| Duration::from_micros(micros.max(0) as u64);
-        let (connect, until) = (span(call.connect), begun + span(call.answer));
-        let done = {
-            let mut first = pin!(self.ask(kept, call.ask, call.wait, connect, until));
-            if let Some(done) = within(begun + span(call.beside), first.as_mut()).await {
-                return done;
-            }
-            if !self.may_call() {
-                return first.await;
-            }
-            let until = Instant::now() + connect + span(call.answer - call.wait);
-            let mut second = pin!(self.ask(None, Ask::Whole, 0, connect, until));
-            let race =
-                future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
-            let (by_first, done) = match race.await {
-                (true, None) => (false, second.await),
-                (false, None) => (true, first.await),
-                done => done,
-            };
-            // The reason of the other one, which is dropped here.
-            self.dropped.set(if by_first { "superseded" } else { "timeout" });
-            done
-        };
-        self.dropped.set("shutdown");
-        done
-    }
-
-    /// Asks on a connection that was kept, or on a new one.
-    async fn ask(
-        &self,
-        kept: Option<Connection>,
-        ask: Ask,
-        wait: Micros,
-        connect: Duration,
-        until: Instant,
-    ) -> Option<(Catalog, Option<Connection>)> {
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => self.connect(Instant::now() + connect).await?,
-        };
-        let target = match ask {
-            Ask::Whole => "/catalog/members".to_string(),
-            Ask::Watch { seq } => format!("/catalog/members?index={seq}&wait={}", wait / 1000),
-        };
-        let host = self.address.to_string();
-        let answer = within(until, connection.exchange(&target, &host)).await;
-        let reason = match answer {
-            None => "timeout",
-            Some(Err(reason)) => reason,
-            Some(Ok(answer)) if answer.status != 200 => "http_status",
-            Some(Ok(answer)) => match catalog::parse(&answer.body) {
-                Err(_) => "malformed_list",
-                Ok(list) => {
-                    connection.line.calls += 1;
-                    if answer.keep {
-                        return Some((list, Some(connection)));
-                    }
-                    connection.line.reason = Some("server_closed");
-                    return Some((list, None));
-                }
-            },
-        };
-        connection.line.reason = Some(reason);
-        None
-    }
-
-    async fn connect(&self, until: Instant) -> Option<Connection> {
-        let (ends, peer, dropped) = (Rc::clone(&self.ends), self.address, Rc::clone(&self.dropped));
-        let mut line = Line { ends, peer, since: Instant::now(), calls: 0, reason: None, dropped };
-        match within(until, Async::<TcpStream>::connect(self.address)).await {
-            Some(Ok(stream)) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                Some(Connection { stream, reader: http::Reader::default(), line })
-            }
-            _ => {
-                line.reason = Some("connect_failed");
-                None
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/transport/src/discovery/call.rs
@@ -0,0 +1,134 @@
+//! One call to discovery, and the one beside it.
+
+use super::connection::{Connection, Line};
+use super::Parts;
+use crate::within;
+use async_io::Async;
+use futures_lite::future;
+use std::net::TcpStream;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wharfplank_membership::{Ask, Call, Pace};
+use wharfplank_protocol::catalog::{self, Catalog};
+use wharfplank_protocol::http;
+use wharfplank_routing::Micros;
+
+/// An answer, and its connection where that can be used again.
+type Answered = Option<(Catalog, Option<Connection>)>;
+
+fn span(micros: Micros) -> Duration {
+    Duration::from_micros(micros.max(0) as u64)
+}
+
+/// When a call is given up.
+#[derive(Clone, Copy)]
+pub(super) struct Limits {
+    /// With no byte of its answer.
+    pub(super) until: Instant,
+    /// Once an answer has begun, so long after its last byte.
+    pub(super) still: Duration,
+    /// Whatever comes.
+    pub(super) most: Instant,
+}
+
+impl Parts {
+    /// One call, and a second beside it where the first stays silent. What answers first counts; a failure counts
+    /// once both have failed.
+    pub(super) async fn call(&self, kept: Option<Connection>, call: &Call) -> Answered {
+        let begun = Instant::now();
+        let (connect, most) = (span(call.connect), begun + span(call.most));
+        let still = span(call.answer - call.wait);
+        let done = {
+            let limits = Limits { until: begun + span(call.answer), still, most };
+            let mut first = pin!(self.ask(kept, call.ask, call.wait, connect, limits));
+            if let Some(done) = within(begun + span(call.beside), first.as_mut()).await {
+                return done;
+            }
+            if !self.may_call() {
+                return first.await;
+            }
+            let limits = Limits { until: Instant::now() + span(call.again_answer), ..limits };
+            let mut second = pin!(self.ask(None, call.again, call.again_wait, connect, limits));
+            let race =
+                future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
+            let (by_first, done) = match race.await {
+                (true, None) => (false, second.await),
+                (false, None) => (true, first.await),
+                done => done,
+            };
+            // The reason of the other one, which is dropped here.
+            self.dropped.set(if by_first { "superseded" } else { "timeout" });
+            done
+        };
+        self.dropped.set("shutdown");
+        done
+    }
+
+    /// Asks on a connection that was kept, or on a new one. A kept one that turns out to have ended meanwhile tells
+    /// nothing of discovery, and the call is made on a new one.
+    async fn ask(
+        &self,
+        kept: Option<Connection>,
+        ask: Ask,
+        wait: Micros,
+        connect: Duration,
+        limits: Limits,
+    ) -> Answered {
+        let target = match ask {
+            Ask::Whole => "/catalog/members".to_string(),
+            Ask::Watch { seq } => format!("/catalog/members?index={seq}&wait={}", wait / 1000),
+        };
+        if let Some(connection) = kept {
+            let begun = Instant::now();
+            match self.ask_on(connection, &target, limits).await {
+                Err(ended) if ended && begun.elapsed() < span(Pace::LEAST) => {}
+                done => return done.ok(),
+            }
+        }
+        let connection = self.connect(Instant::now() + connect).await?;
+        self.ask_on(connection, &target, limits).await.ok()
+    }
+
+    /// Asks on a connection; `Err` says whether that ended with no byte of an answer.
+    async fn ask_on(
+        &self,
+        mut connection: Connection,
+        target: &str,
+        limits: Limits,
+    ) -> Result<(Catalog, Option<Connection>), bool> {
+        let host = self.address.to_string();
+        let (reason, ended) = match connection.exchange(target, &host, limits).await {
+            Err(reason) => (reason, matches!(reason, "reset" | "server_closed") && !connection.begun),
+            Ok(answer) if answer.status != 200 => ("http_status", false),
+            Ok(answer) => match catalog::parse(&answer.body) {
+                Err(_) => ("malformed_list", false),
+                Ok(list) => {
+                    connection.line.calls += 1;
+                    if answer.keep {
+                        return Ok((list, Some(connection)));
+                    }
+                    connection.line.reason = Some("server_closed");
+                    return Ok((list, None));
+                }
+            },
+        };
+        connection.line.reason = Some(reason);
+        Err(ended)
+    }
+
+    async fn connect(&self, until: Instant) -> Option<Connection> {
+        let (ends, peer, dropped) = (Rc::clone(&self.ends), self.address, Rc::clone(&self.dropped));
+        let mut line = Line { ends, peer, since: Instant::now(), calls: 0, reason: None, dropped };
+        match within(until, Async::<TcpStream>::connect(self.address)).await {
+            Some(Ok(stream)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                Some(Connection { stream, reader: http::Reader::default(), line, begun: false })
+            }
+            _ => {
+                line.reason = Some("connect_failed");
+                None
+            }
+        }
+    }
+}
--- a/crates/transport/src/discovery/connection.rs
+++ b/crates/transport/src/discovery/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to discovery, and its line of the log.
 
-use crate::{Ended, Ends};
+use super::call::Limits;
+use crate::{within, Ended, Ends};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
@@ -14,6 +15,8 @@
     pub(super) stream: Async<TcpStream>,
     pub(super) reader: http::Reader,
     pub(super) line: Line,
+    /// Whether a byte of the answer that is waited for has come.
+    pub(super) begun: bool,
 }
 
 pub(super) struct Line {
@@ -34,8 +37,17 @@
 }
 
 impl Connection {
-    pub(super) async fn exchange(&mut self, target: &str, host: &str) -> Result<http::Answer, &'static str> {
-        self.stream.write_all(&http::get(target, host)).await.map_err(|_| "reset")?;
+    /// One exchange, given up by its limits; an answer that keeps coming is read on.
+    pub(super) async fn exchange(
+        &mut self,
+        target: &str,
+        host: &str,
+        limits: Limits,
+    ) -> Result<http::Answer, &'static str> {
+        let Limits { mut until, still, most } = limits;
+        self.begun = false;
+        let asked = within(until, self.stream.write_all(&http::get(target, host))).await;
+        asked.ok_or("timeout")?.map_err(|_| "reset")?;
         let mut ended = false;
         loop {
             if let Some(answer) = self.reader.advance(ended).map_err(|_| "malformed_http")? {
@@ -44,9 +56,12 @@
             if ended {
                 return Err("server_closed");
             }
-            let count = self.stream.read(self.reader.buffer.space()).await.map_err(|_| "reset")?;
+            let read = within(until, self.stream.read(self.reader.buffer.space())).await;
+            let count = read.ok_or("timeout")?.map_err(|_| "reset")?;
             self.reader.buffer.filled(count);
+            self.begun |= count > 0;
             ended = count == 0;
+            until = until.max(Instant::now() + still).min(most);
         }
     }
 }
