--- a/crates/program/src/broker/attempts.rs
+++ b/crates/program/src/broker/attempts.rs
@@ -3,6 +3,9 @@
 use super::probes::role;
 use super::*;
 
+/// What is left of a send's margin when its last byte must be out.
+const WRITE_MARGIN: Micros = 500;
+
 /// An attempt that is out.
 pub(super) struct Flight {
     pub(super) host: HostId,
--- a/crates/program/src/broker/mod.rs
+++ b/crates/program/src/broker/mod.rs
@@ -58,9 +58,6 @@
 
 /// The client counts its wait from its own send: answers are due this much earlier here.
 const ANSWER_MARGIN: Micros = 5_000;
-/// What is left of a send's margin when its last byte must be out.
-const WRITE_MARGIN: Micros = 500;
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pools are tended at this pace.
 const TEND: Micros = 1_000_000;
 /// Names past which those of members long gone are forgotten.
--- a/crates/program/src/broker/probes.rs
+++ b/crates/program/src/broker/probes.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 impl Broker {
     pub(super) fn probe(&mut self, host: HostId) {
         let Some(member) = self.members.get(&host) else { return };
