A connection that its member greets and ends in one breath carries nothing

Seen: member_pool.rs, a_connection_that_is_greeted_and_ended_at_once_carries_nothing. `Member::take` looks whether an idle connection is quiet before it hands it out, but not one that has just come up: a member that greets and closes at once, or says an error behind its greeting, was sent the statement, and the attempt ended as a reset that may have run; a write with effect `fragile` then failed for nothing.

Change: `take` looks at those, too; one that has ended or said more ends the attempt as one that got no connection, so that the router decides again instead of a row of new connections to such a member.

--- a/crates/transport/src/members/pool.rs
+++ b/crates/transport/src/members/pool.rs
@@ -183,6 +183,12 @@
         self.waiters.borrow_mut().retain(|w| !w.is_closed());
         self.waiters.borrow_mut().push_back(sender);
         self.top_up();
-        receiver.recv().await.ok().flatten()
+        let connection = receiver.recv().await.ok().flatten()?;
+        // A member may greet and end at once: what is written to it then may have run, for all that can be known.
+        if !connection.quiet() {
+            connection.end("member_closed");
+            return None;
+        }
+        Some(connection)
     }
 }
--- a/crates/transport/tests/member_pool.rs
+++ b/crates/transport/tests/member_pool.rs
@@ -98,3 +98,23 @@
         until(|| rig.shared.open.get() == 1).await;
     });
 }
+
+/// Guards against a member that greets and ends in one breath: what is written to it then would count as one that may
+/// have run, though nobody was there to take it.
+#[test]
+fn a_connection_that_is_greeted_and_ended_at_once_carries_nothing() {
+    for said in [Vec::new(), error("57P01"), error("53300")] {
+        play(Terms::default(), |rig, stand| async move {
+            let (stage, attempt) = rig.attempt("1", far(), None);
+            let attempt = rig.spawn(attempt);
+            let peer = stand.accepts().await;
+            assert_eq!(peer.hears().await, Heard::Startup);
+            peer.says(&[message(b'R', &[0; 4]), message(b'Z', b"I"), said].concat());
+            peer.closes();
+            assert_eq!(soon(attempt).await.ending, Ending::ConnectFailed);
+            assert_eq!(stage.get(), Stage::Waiting, "nothing was written");
+            assert_eq!(*rig.ends.borrow(), ["member_closed"]);
+            assert_eq!(rig.shared.open.get(), 0);
+        });
+    }
+}
