--- a/crates/transport/src/members/pool.rs
+++ b/crates/transport/src/members/pool.rs
@@ -92,6 +92,11 @@
         if self.excess().0 > 0 {
             return connection.end("over_budget");
         }
+        // It came up, or served, while the member moved: another may listen at the old address by now.
+        if connection.peer != self.address.get() {
+            connection.end("moved");
+            return self.top_up();
+        }
         loop {
             let waiter = self.waiters.borrow_mut().pop_front();
             let Some(waiter) = waiter else { break };
@@ -105,7 +110,7 @@
         }
         connection.reason = IDLE;
         connection.client.buffer.release();
-        if self.wanted.get() && connection.peer == self.address.get() {
+        if self.wanted.get() {
             self.idle.borrow_mut().push(connection);
         } else {
             connection.reason = "left";
@@ -178,6 +183,12 @@
         self.waiters.borrow_mut().retain(|w| !w.is_closed());
         self.waiters.borrow_mut().push_back(sender);
         self.top_up();
-        receiver.recv().await.ok().flatten()
+        let connection = receiver.recv().await.ok().flatten()?;
+        // A member may greet and end at once: what is written to it then may have run, for all that can be known.
+        if !connection.quiet() {
+            connection.end("member_closed");
+            return None;
+        }
+        Some(connection)
     }
 }
