A client that has gone, or cancels: no attempt of its requests begins after that

Seen, each by an exchange over loopback that failed before (the member's next query was the departed client's, or the connection's end was never noted): - An attempt that waited for its connection when its client closed or broke was sent all the same: `Broker::gone` took the request out of the tables and told the router, but left the attempt's task running in `Member::have`, up to the connect time-out. - Behind a Terminate, or bytes that cannot be read, with a query open, the connection read nothing (`Connection::reads`, `!ending`), and so saw no end until the query was answered. - With 16 KiB behind 32 open queries it read nothing either. - While a write to a slow reader stood still, nothing was read for up to 5 s. - Bytes and an end that come together were asked before the end was read. - A cancel request named nothing: every connection's key was eight zeros. Ruled out by exchanges that pass on the old program too: a read that waits for a shared probe, a write between its miss and its next try, a long value whose client leaves.

Changed: `client/presence.rs` reads on whatever the connection waits for (up to 2 MiB ahead where there is memory, past what follows the last command, and during writes), takes in what is there before it asks, and where nothing may be read looks for the end (POLLRDHUP) each 25 ms. `Broker::gone` ends an attempt that has not begun; `Lane::awaits` is asked when a request is taken, when it is sent and just before an attempt's first byte, for the events that stand behind others. Each connection has a key of its own (number, and a secret by a keyed hash whose key std takes from the system); a cancel request that names both answers what is open with 57014, each in its place, and ends its attempts, also begun ones where the settings allow it. One that names nothing is ignored, and gets no answer, as PostgreSQL does. Keys end with their connections.

Tests: exchanges expected a key of eight zeros, which was wrong, since it was the fault that a key names nothing: `\?` now stands for any byte there, and `a_client_that_cancels_with_no_key` holds that keys are there and differ. `pipeline`'s tests are a file of the crate's own, on its public side.

--- a/crates/lab/src/stand.rs
+++ b/crates/lab/src/stand.rs
@@ -147,7 +147,7 @@
                     }
                     continue;
                 }
-                Ok(Some(Command::Terminate | Command::Cancel)) | Err(_) => return Ok(()),
+                Ok(Some(Command::Terminate | Command::Cancel(_))) | Err(_) => return Ok(()),
             };
             if self.away(member) {
                 return Ok(());
--- a/crates/program/src/broker/attempts.rs
+++ b/crates/program/src/broker/attempts.rs
@@ -13,6 +13,20 @@
     pub(super) task: Task<()>,
 }
 
+/// What the settings allow of attempts.
+pub(super) struct Allowed {
+    /// The most of one request.
+    pub(super) attempts: u32,
+    /// Whether one that has begun may be given up.
+    pub(super) cancels: bool,
+}
+
+impl Allowed {
+    pub(super) fn by(settings: &routing::Settings) -> Self {
+        Allowed { attempts: settings.max_attempts, cancels: settings.may_cancel }
+    }
+}
+
 impl Broker {
     /// Tells the router, carries out what it does, and tells it what that ends at once.
     pub(super) fn tell(&mut self, event: routing::Event) {
@@ -80,7 +94,8 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let barred = attempt > 0 && self.shared.budgets.as_ref().is_some_and(|budgets| !budgets.retry());
-        let member = self.members.get(&host).filter(|_| attempt < self.max_attempts && !barred);
+        let wanted = attempt < self.allowed.attempts && !barred && open.lane.awaits(open.ticket);
+        let member = self.members.get(&host).filter(|_| wanted);
         let Some(member) = member else {
             self.ended.push_back((id, attempt, host, now, Ending::Moot));
             return;
@@ -94,7 +109,9 @@
         let holds = holds_until.map(|until| until + SEND_MARGIN - WRITE_MARGIN);
         let holds = holds.into_iter().chain(leave).min().map(|until| span(until - now));
         let (member, statement) = (Rc::clone(member), Rc::clone(&open.statement));
-        let work = member.attempt(statement, Rc::clone(&stage), span(timeout), holds);
+        let (lane, ticket) = (Rc::clone(&open.lane), open.ticket);
+        let wanted = move || lane.awaits(ticket);
+        let work = member.attempt(statement, Rc::clone(&stage), span(timeout), holds, wanted);
         let (events, done) = (self.events.clone(), Rc::clone(&stage));
         let task = self.shared.executor.spawn(async move {
             let (report, stream) = work.await;
--- a/crates/program/src/broker/mod.rs
+++ b/crates/program/src/broker/mod.rs
@@ -11,7 +11,7 @@
 mod requests;
 mod roster;
 
-use attempts::Flight;
+use attempts::{Allowed, Flight};
 use budgets::Barred;
 use replacement::Replacement;
 use requests::Open;
@@ -82,7 +82,7 @@
     clock: Clock,
     router: Router,
     terms: Terms,
-    max_attempts: u32,
+    allowed: Allowed,
     shared: Rc<Shared>,
     clients: Rc<Clients>,
     events: Sender<Event>,
@@ -136,7 +136,7 @@
             clock,
             router: Router::new(config.settings.clone()),
             terms: config.terms.clone(),
-            max_attempts: config.settings.max_attempts,
+            allowed: Allowed::by(&config.settings),
             shared,
             clients,
             events,
@@ -225,6 +225,7 @@
         match event {
             Event::Asked(asked) => self.asked(*asked),
             Event::Gone(ticket) => self.gone(ticket),
+            Event::Cancelled(ticket) => self.cancelled(ticket),
             Event::Attempt { id, attempt, report } => self.attempt_ended(id, attempt, report),
             Event::Passed { id, attempt, report } => self.passed(id, attempt, report),
             Event::Probed { host, report } => self.probed(host, report),
--- a/crates/program/src/broker/requests.rs
+++ b/crates/program/src/broker/requests.rs
@@ -22,6 +22,10 @@
 
 impl Broker {
     pub(super) fn asked(&mut self, asked: Asked) {
+        // Its client went away, or cancelled it, before it got here: it has its answer, or needs none.
+        if !asked.lane.awaits(asked.ticket) {
+            return;
+        }
         let Some(class) = self.terms.names.iter().position(|name| *name == asked.class) else {
             asked.lane.give(asked.ticket, Answer::Malformed("the class is not in the settings"));
             return;
@@ -77,6 +81,28 @@
         }
     }
 
+    /// A client cancelled a request, and its connection has answered it: none of its attempts goes on.
+    pub(super) fn cancelled(&mut self, ticket: Ticket) {
+        if let Some(id) = self.tickets.get(&ticket).copied() {
+            self.count(id, "failed", "cancelled");
+            let attempts = self.ended(id, &Answer::Cancelled).map_or(0, |open| open.attempts);
+            self.withdraw(id, attempts, self.allowed.cancels);
+            self.tell(routing::Event::Gone(id));
+        }
+    }
+
+    /// Ends the attempts of a request that nobody waits for any more: one that waits for its connection never begins,
+    /// and one that has begun is given up where that is wanted.
+    fn withdraw(&mut self, id: RequestId, attempts: u32, begun: bool) {
+        for attempt in 0..attempts {
+            match self.flights.get(&(id, attempt)).map(|flight| flight.stage.get()) {
+                Some(Stage::Waiting) => self.end(id, attempt, Ending::Moot),
+                Some(Stage::Begun) if begun => self.end(id, attempt, Ending::Cancelled),
+                _ => {}
+            }
+        }
+    }
+
     /// A client went away: nothing more is owed.
     pub(super) fn gone(&mut self, ticket: Ticket) {
         if let Some(id) = self.tickets.get(&ticket).copied() {
@@ -88,7 +114,8 @@
             if let Some(open) = open.filter(out) {
                 self.talk.gone(self.clock.now(), id, open.class, &open.name);
             }
-            self.close(id);
+            let attempts = self.close(id).map_or(0, |open| open.attempts);
+            self.withdraw(id, attempts, false);
             self.tell(routing::Event::Gone(id));
         }
     }
@@ -136,7 +163,7 @@
 
     /// Keeps how an attempt ended, for the line of a request that is given up.
     pub(super) fn keep_ending(&mut self, id: RequestId, host: HostId, ending: Ending) {
-        let most = self.max_attempts as usize;
+        let most = self.allowed.attempts as usize;
         if let Some(open) = self.requests.get_mut(&id).filter(|o| o.endings.len() < most) {
             open.endings.push((host, ending));
         }
@@ -156,7 +183,7 @@
         let end = match answer {
             Answer::Served(_) => End::Success,
             Answer::Refused(_) => End::Overload,
-            Answer::Failed | Answer::Malformed(_) => End::Error,
+            Answer::Failed | Answer::Cancelled | Answer::Malformed(_) => End::Error,
         };
         self.shared.figures.ended(open.class.0, end);
         Some(open)
--- a/crates/protocol/src/pipeline.rs
+++ b/crates/protocol/src/pipeline.rs
@@ -28,6 +28,8 @@
     Refused(i64),
     /// Failed, with no promise about its effect.
     Failed,
+    /// Ended by a cancel request, with no promise either.
+    Cancelled,
     /// The request cannot be used; in words.
     Malformed(&'static str),
 }
@@ -175,6 +177,31 @@
         }
     }
 
+    /// Ends all that is open with [`Answer::Cancelled`] in its place, and tells what that was. An answer that has
+    /// begun passes on, and what waits for its turn has ended before.
+    pub fn cancel(&mut self) -> Vec<Ticket> {
+        let mut ended = Vec::new();
+        for place in &mut self.places {
+            if let Place::Open(ticket, bytes) = *place {
+                self.bytes -= bytes;
+                self.usable = true;
+                *place = Place::Done(Answer::Cancelled);
+                ended.push(ticket);
+            }
+        }
+        ended
+    }
+
+    /// Whether any request waits for its answer to begin.
+    pub fn waits_for_members(&self) -> bool {
+        self.places.iter().any(|place| matches!(place, Place::Open(..)))
+    }
+
+    /// Whether this request still waits for its answer.
+    pub fn awaits(&self, ticket: Ticket) -> bool {
+        self.find(ticket).is_some()
+    }
+
     /// Whether a command stands behind the one whose turn it is.
     pub fn has_more(&self) -> bool {
         self.places.len() > 1
@@ -204,6 +231,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/protocol/src/server.rs
+++ b/crates/protocol/src/server.rs
@@ -13,6 +13,16 @@
 const SSL_REQUEST: u32 = 80_877_103;
 const GSS_REQUEST: u32 = 80_877_104;
 
+/// What names a connection to those who would cancel its queries: the greeting tells it to the client alone, and a
+/// cancel request has to name both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Key {
+    /// The connection's number, as PostgreSQL gives its process's.
+    pub process: u32,
+    /// Drawn at random.
+    pub secret: u32,
+}
+
 /// What a client asks.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Command<'a> {
@@ -24,8 +34,8 @@
     Query(&'a str),
     /// The client ends the connection.
     Terminate,
-    /// The connection was for a cancel request, which gets no answer.
-    Cancel,
+    /// The connection was for a cancel request, which gets no answer; `None` where it is malformed and names nothing.
+    Cancel(Option<Key>),
 }
 
 /// Input that ends the connection, with the error that the client is told.
@@ -45,9 +55,15 @@
     /// What is to be written to the client.
     pub out: Vec<u8>,
     started: bool,
+    key: Key,
 }
 
 impl Server {
+    /// A connection that has said nothing yet, and the key that its greeting is to tell.
+    pub fn new(key: Key) -> Self {
+        Server { key, ..Server::default() }
+    }
+
     /// The next thing that the client asks, once it is whole.
     pub fn advance(&mut self) -> Result<Option<Command<'_>>, Violation> {
         if !self.started {
@@ -86,7 +102,7 @@
             };
             match u32::from_be_bytes(code) {
                 SSL_REQUEST | GSS_REQUEST => self.out.push(b'N'),
-                CANCEL_REQUEST => return Ok(Some(Command::Cancel)),
+                CANCEL_REQUEST => return Ok(Some(Command::Cancel(named(&body[8..])))),
                 version if version >> 16 == 3 => {
                     let options = options(&body[8..]);
                     let options =
@@ -95,7 +111,7 @@
                         negotiate(&mut self.out, &options);
                     }
                     self.started = true;
-                    greet(&mut self.out);
+                    greet(&mut self.out, self.key);
                     return Ok(Some(Command::Started));
                 }
                 _ => return Err(Violation { code: "0A000", what: "unsupported protocol version" }),
@@ -120,6 +136,7 @@
                 error(out, "ERROR", "53300", "refused: trying again is harmless", detail.as_deref());
             }
             Answer::Failed => error(out, "ERROR", "58000", "failed: it may have run", None),
+            Answer::Cancelled => error(out, "ERROR", "57014", "cancelled on request: it may have run", None),
             Answer::Malformed(what) => error(out, "ERROR", "08P01", what, None),
         }
         self.ready();
@@ -149,6 +166,13 @@
     Ok(length.filter(|length| buffer.bytes().len() >= *length))
 }
 
+/// What a cancel request names.
+fn named(body: &[u8]) -> Option<Key> {
+    let word = |at: usize| body.get(at..at + 4)?.try_into().ok().map(u32::from_be_bytes);
+    let key = Key { process: word(0)?, secret: word(4)? };
+    (body.len() == 8).then_some(key)
+}
+
 /// The protocol options that a startup message asks for; `None` when it is not well formed.
 fn options(mut body: &[u8]) -> Option<Vec<String>> {
     let mut options = Vec::new();
@@ -173,7 +197,7 @@
     });
 }
 
-fn greet(out: &mut Vec<u8>) {
+fn greet(out: &mut Vec<u8>, key: Key) {
     message(out, b'R', |out| out.extend_from_slice(&[0; 4]));
     let parameters = [
         ("server_version", "15.0"),
@@ -189,8 +213,10 @@
             text(out, value);
         });
     }
-    // Cancel requests are taken and have no effect, so the key is of no use to anybody.
-    message(out, b'K', |out| out.extend_from_slice(&[0; 8]));
+    message(out, b'K', |out| {
+        out.extend_from_slice(&key.process.to_be_bytes());
+        out.extend_from_slice(&key.secret.to_be_bytes());
+    });
     message(out, b'Z', |out| out.push(b'I'));
 }
 
--- a/crates/protocol/src/pipeline/tests.rs
+++ b/crates/protocol/tests/pipeline.rs
@@ -1,6 +1,7 @@
 //! The order of answers, and what may wait.
 
-use super::*;
+use wharfplank_protocol::pipeline::*;
+use wharfplank_protocol::server::Violation;
 
 /// Takes all that can be written.
 fn drain(pipeline: &mut Pipeline) -> Vec<Next> {
@@ -38,14 +39,12 @@
             while !open.is_empty() && draw(3) > 0 {
                 let number = open.swap_remove(draw(open.len()));
                 let due = pipeline.answer(Ticket(number), Answer::Refused(number as i64), usize::MAX);
-                assert_eq!(
-                    due,
-                    pipeline.places.front() == Some(&Place::Done(Answer::Refused(number as i64)))
-                );
+                let first = wanted.get(got.len()) == Some(&Next::Answer(Answer::Refused(number as i64)));
+                assert_eq!(due, first);
                 assert!(!pipeline.answer(Ticket(number), Answer::Failed, usize::MAX), "a second answer");
             }
             got.append(&mut drain(&mut pipeline));
-            assert!(pipeline.places.len() <= PLACES_MOST);
+            assert!(wanted.len() - got.len() <= PLACES_MOST);
         }
         for number in open {
             pipeline.answer(Ticket(number), Answer::Refused(number as i64), usize::MAX);
@@ -138,3 +137,25 @@
     assert_eq!(drain(&mut pipeline), [Next::Answer(Answer::Refused(2))]);
     assert_eq!((pipeline.bytes(), pipeline.is_empty()), (0, true));
 }
+
+/// Guards against a cancel that answers what has an answer, cuts off one that has begun, leaves a request open, or
+/// answers one twice.
+#[test]
+fn a_cancel_ends_what_is_open_in_its_place() {
+    let mut pipeline = Pipeline::default();
+    (0..4).for_each(|n| pipeline.ask(Ticket(n), 10));
+    pipeline.ask_nothing();
+    pipeline.answer(Ticket(2), Answer::Refused(2), usize::MAX);
+    assert_eq!(pipeline.begin(Ticket(1)), Some(false));
+    assert!(pipeline.awaits(Ticket(0)) && pipeline.awaits(Ticket(3)));
+    assert_eq!(pipeline.cancel(), [Ticket(0), Ticket(3)]);
+    assert!((0..4).all(|n| !pipeline.awaits(Ticket(n))));
+    assert!(!pipeline.answer(Ticket(3), Answer::Refused(3), usize::MAX), "a second answer");
+    assert_eq!(pipeline.next(true), Some(Next::Answer(Answer::Cancelled)));
+    assert_eq!(pipeline.next(true), Some(Next::Pass(Ticket(1))));
+    pipeline.passed();
+    let rest = [Next::Answer(Answer::Refused(2)), Next::Answer(Answer::Cancelled), Next::Empty];
+    assert_eq!(drain(&mut pipeline), rest);
+    assert_eq!((pipeline.bytes(), pipeline.cancel()), (0, vec![]));
+    assert!(pipeline.has_room(), "the connection goes on");
+}
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -1,9 +1,12 @@
 //! One client connection: reads commands, asks them at once, and writes their answers in order.
 
 mod input;
+mod keys;
 mod lane;
 mod output;
+mod presence;
 
+pub(super) use keys::Keys;
 pub use lane::Lane;
 
 use super::clients::{Clients, Peer};
@@ -31,8 +34,10 @@
 const FLUSH_MOST: Duration = Duration::from_secs(60);
 /// How long an error that ends a connection may take to arrive, and what is read past meanwhile.
 const LINGER: Duration = Duration::from_millis(500);
-/// Bytes that are read while no further command can be asked; past that the client waits.
-const AHEAD_MOST: usize = 16 * 1024;
+/// Bytes that are read while no further command can be asked, whatever others hold, and where there is memory for
+/// it. Past that the client waits, and its end is not seen: it lies behind what it sent.
+const AHEAD_LEAST: usize = 16 * 1024;
+const AHEAD_MOST: usize = 2 * 1024 * 1024;
 /// Answers that are gathered before they are written.
 const GATHER: usize = 64 * 1024;
 /// Reads whose time is remembered; further ones count as being as old as the last of them.
@@ -42,7 +47,8 @@
 
 /// A client's connection.
 pub(super) struct Connection {
-    stream: Async<TcpStream>,
+    /// Shared with its own writes, during which it is read all the same.
+    stream: Rc<Async<TcpStream>>,
     server: Server,
     peer: Rc<Peer>,
     lane: Rc<Lane>,
@@ -57,6 +63,8 @@
     /// long it stands in the buffer.
     read: u64,
     marks: VecDeque<(u64, Instant)>,
+    /// Bytes that were read past, behind the last command that is taken.
+    past: usize,
     /// The answer that passes through, while it is its turn.
     passing: Option<Passing>,
 }
@@ -88,8 +96,7 @@
                 break reason;
             }
         };
-        let open: Vec<Ticket> = c.lane.pipeline.borrow().open().collect();
-        for ticket in open {
+        for ticket in c.lane.leave() {
             let _ = self.events.send(Event::Gone(ticket)).await;
         }
         reason
@@ -118,9 +125,11 @@
                     c.lane.end("terminated", None);
                     break;
                 }
-                Ok(Some(Command::Cancel)) => {
-                    c.lane.end("cancel_request", None);
-                    break;
+                Ok(Some(Command::Cancel(key))) => {
+                    if let Some(key) = key {
+                        self.cancel(key).await;
+                    }
+                    return Err("cancel_request");
                 }
                 Ok(Some(Command::Query(query))) => match comment::read(query) {
                     Ok(comment) => {
@@ -182,8 +191,8 @@
 impl Connection {
     pub(super) fn new(stream: Async<TcpStream>, peer: Rc<Peer>, accepted: Instant) -> Self {
         Connection {
-            stream,
-            server: Server::default(),
+            stream: Rc::new(stream),
+            server: Server::new(peer.key),
             lane: Rc::clone(&peer.lane),
             peer,
             accepted,
@@ -193,6 +202,7 @@
             rests: None,
             read: 0,
             marks: VecDeque::new(),
+            past: 0,
             passing: None,
         }
     }
--- a/crates/transport/src/client/input.rs
+++ b/crates/transport/src/client/input.rs
@@ -1,10 +1,10 @@
 //! What a connection waits for, and what it reads.
 
-use super::{Connection, Reason, Wake, AHEAD_MOST, FIRST_WAIT, IDLE_MOST, MARKS, MESSAGE_WAIT};
+use super::{Connection, Reason, Wake, FIRST_WAIT, IDLE_MOST, MESSAGE_WAIT};
 use crate::clients::{Clients, Leaving};
 use crate::within;
 use event_listener::EventListener;
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use std::net::Shutdown;
 use std::time::Instant;
 use wharfplank_protocol::server::Violation;
@@ -39,7 +39,6 @@
             (true, None) => "request_timeout",
             (true, Some(_)) => "idle_timeout",
         };
-        let reads = c.reads();
         let rung = async {
             if !close {
                 bell.await;
@@ -47,12 +46,7 @@
             Ok(Wake::Rung)
         };
         let pieces = c.passing.as_ref().map(|passing| passing.pieces());
-        let read = async {
-            match reads {
-                true => c.read(!open).await.map(Wake::Read),
-                false => future::pending().await,
-            }
-        };
+        let read = async { c.hear(!open).await.map(Wake::Read) };
         let given = async {
             match pieces {
                 // Where the member's side is gone, what there was has been written: the next look finds the end.
@@ -97,35 +91,6 @@
 }
 
 impl Connection {
-    /// Whether more may be read: not past the end, and not much that cannot be asked yet.
-    fn reads(&self) -> bool {
-        let pipeline = self.lane.pipeline.borrow();
-        let held = self.server.buffer.bytes().len();
-        // A message that is not yet whole grows on behind open ones where there is memory for it.
-        let grows = || self.lane.memory.room() >= self.server.buffer.capacity();
-        let whole = self.server.length().is_some();
-        !pipeline.ending() && (pipeline.is_empty() || held < AHEAD_MOST || (!whole && grows()))
-    }
-
-    /// Reads what has come. While a message grows (`bound`) it may be more than all may buffer; behind open
-    /// requests a lack of memory does not end it.
-    async fn read(&mut self, bound: bool) -> Result<usize, Reason> {
-        self.server.buffer.space();
-        self.lane.buffer.set(self.server.buffer.capacity());
-        if !self.lane.hold() && bound {
-            return Err("out_of_memory");
-        }
-        let count = self.stream.read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
-        self.server.buffer.filled(count);
-        self.read += count as u64;
-        if self.marks.len() >= MARKS {
-            self.marks.pop_back().into_iter().for_each(|(_, at)| self.marks.push_back((self.read, at)));
-        } else {
-            self.marks.push_back((self.read, Instant::now()));
-        }
-        Ok(count)
-    }
-
     /// Ends a connection on which nothing is open, unless something has just arrived. A client that sends many
     /// requests at once loses all but the first where its write crosses the close, and a process that must share its
     /// core may stand still between any two steps: so nothing lies between this look and the end.
--- a/crates/transport/src/client/lane.rs
+++ b/crates/transport/src/client/lane.rs
@@ -14,6 +14,8 @@
 pub struct Lane {
     pub(super) pipeline: RefCell<Pipeline>,
     pub(super) bell: Bell,
+    /// Whether its client has gone.
+    left: Cell<bool>,
     pub(super) memory: Rc<Memory>,
     part: RefCell<Part>,
     /// What the connection reads into.
@@ -35,6 +37,7 @@
         Lane {
             pipeline,
             bell,
+            left: Cell::new(false),
             memory: Rc::clone(memory),
             part,
             buffer: Cell::new(0),
@@ -64,6 +67,26 @@
         }
     }
 
+    /// Whether this request still waits for its answer here. Asked just before an attempt begins: the event that says
+    /// otherwise may stand behind others.
+    pub fn awaits(&self, ticket: Ticket) -> bool {
+        !self.left.get() && self.pipeline.borrow().awaits(ticket)
+    }
+
+    /// The client has gone: nothing is awaited any more. Tells what was open.
+    pub(super) fn leave(&self) -> Vec<Ticket> {
+        self.left.set(true);
+        self.pipeline.borrow().open().collect()
+    }
+
+    /// Ends what is open on request, and tells what that was.
+    pub(super) fn cancel(&self) -> Vec<Ticket> {
+        let ended = self.pipeline.borrow_mut().cancel();
+        self.hold();
+        self.ring();
+        ended
+    }
+
     /// Hands over the flow of an answer whose turn it is.
     pub(super) fn flow(&self, ticket: Ticket) -> Option<Flow> {
         self.flows.borrow_mut().remove(&ticket)
--- a/crates/transport/src/client/output.rs
+++ b/crates/transport/src/client/output.rs
@@ -5,8 +5,9 @@
 use crate::flow::{Flow, Piece};
 use crate::within;
 use async_channel::{Receiver, TryRecvError};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Instant;
 use wharfplank_protocol::pipeline::{Answer, Next, Ticket};
 use wharfplank_protocol::server::Violation;
@@ -30,6 +31,14 @@
     Cut(Option<usize>),
 }
 
+/// What a write waited for.
+enum Woken {
+    /// So many bytes were taken; 0: the connection broke.
+    Taken(usize),
+    /// So many were read; 0: the client's end.
+    Heard(Result<usize, Reason>),
+}
+
 impl Passing {
     pub(super) fn pieces(&self) -> Receiver<Piece> {
         self.flow.pieces.clone()
@@ -150,38 +159,53 @@
         self.lane.pipeline.borrow_mut().passed();
     }
 
+    /// Writes all that is to go out, and hears the client meanwhile: one that goes while it takes nothing must not
+    /// leave requests behind.
     pub(super) async fn flush(&mut self) -> Result<(), Reason> {
         if self.server.out.is_empty() {
             return Ok(());
         }
+        // Large answers are rare: their memory goes back.
+        let (out, stream) = (std::mem::take(&mut self.server.out), Rc::clone(&self.stream));
+        let (mut at, mut hears, most) = (0, true, Instant::now() + FLUSH_MOST);
         // Slow is not stalled: what it takes shows that it still reads.
-        let (mut at, most) = (0, Instant::now() + FLUSH_MOST);
-        let written = loop {
-            if at == self.server.out.len() {
-                break Some(Ok(()));
-            }
-            let taken = self.stream.write(&self.server.out[at..]);
-            match within(most.min(Instant::now() + WRITE_WAIT), taken).await {
-                Some(Ok(count @ 1..)) => at += count,
-                Some(Ok(_)) => break Some(Err(())),
-                Some(Err(_)) => break Some(Err(())),
-                None => break None,
+        let mut until = Instant::now() + WRITE_WAIT;
+        while at < out.len() {
+            let taken = async { Woken::Taken((&*stream).write(&out[at..]).await.unwrap_or(0)) };
+            let heard = async {
+                match hears {
+                    true => Woken::Heard(self.hear(false).await),
+                    false => future::pending().await,
+                }
+            };
+            match within(most.min(until), future::or(taken, heard)).await {
+                Some(Woken::Taken(0)) => return Err("client_reset"),
+                Some(Woken::Taken(count)) => {
+                    at += count;
+                    until = Instant::now() + WRITE_WAIT;
+                }
+                // What is on its way is written on to one that has only ended its sending.
+                Some(Woken::Heard(Ok(0))) if self.waits_for_nothing() => hears = false,
+                Some(Woken::Heard(Ok(0))) => return Err("client_gone"),
+                Some(Woken::Heard(heard)) => drop(heard?),
+                None => return Err("client_stalled"),
             }
-        };
-        // Large answers are rare: their memory goes back.
-        self.server.out = Vec::new();
-        match written {
-            Some(Ok(())) => Ok(()),
-            Some(Err(_)) => Err("client_reset"),
-            None => Err("client_stalled"),
         }
+        Ok(())
+    }
+
+    /// Whether nothing that it asked may still have to be sent on.
+    fn waits_for_nothing(&self) -> bool {
+        let pipeline = self.lane.pipeline.borrow();
+        let unasked = !pipeline.ending() && self.server.length().is_some();
+        !unasked && !pipeline.waits_for_members()
     }
 
     /// Reads past what the client still sends, for a moment: a connection closed over unread bytes is reset,
     /// and the error would be lost with it.
     pub(super) async fn drain(&mut self) {
         let mut sink = [0; 4096];
-        let drain = async { while matches!(self.stream.read(&mut sink).await, Ok(1..)) {} };
+        let drain = async { while matches!((&*self.stream).read(&mut sink).await, Ok(1..)) {} };
         within(Instant::now() + LINGER, drain).await;
     }
 }
--- /dev/null
+++ b/crates/transport/src/client/presence.rs
@@ -0,0 +1,100 @@
+//! What is read of a client, and how its end is seen, also where nothing more can be asked.
+//!
+//! The end of a connection lies behind all that the client sent: who reads nothing sees no end. A client that has gone
+//! must not be served on, so whatever the connection waits for, it reads on as far as there is room, and past that it
+//! looks for the end without reading.
+
+use super::{Connection, Reason, AHEAD_LEAST, AHEAD_MOST, MARKS};
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::time::{Duration, Instant};
+
+/// Between looks for the end of a client that is not read.
+const LOOK: Duration = Duration::from_millis(25);
+/// What is read past behind the last command that is taken.
+const PAST_MOST: usize = 16 * 1024 * 1024;
+/// Reads in a row, so that one that sends without end lets others by.
+const READS_MOST: usize = 32;
+
+impl Connection {
+    /// Reads what has come; 0 is the client's end. Where nothing may be read it waits for that alone. While a message
+    /// grows (`bound`) it may be more than all may buffer.
+    pub(super) async fn hear(&mut self, bound: bool) -> Result<usize, Reason> {
+        if self.lane.pipeline.borrow().ending() {
+            return self.read_past().await;
+        }
+        if !self.reads(!bound) {
+            return self.end_unread().await;
+        }
+        let count = self.read(bound).await?;
+        // The end may have come right behind it: what it sent is not asked then.
+        for _ in 1..READS_MOST {
+            if count == 0 || !self.reads(true) {
+                break;
+            }
+            match future::poll_once(self.read(false)).await {
+                None => break,
+                Some(Ok(0)) => return Ok(0),
+                Some(read) => read?,
+            };
+        }
+        Ok(count)
+    }
+
+    /// Whether more may be read: not much that cannot be asked yet (`ahead`).
+    pub(super) fn reads(&self, ahead: bool) -> bool {
+        let held = self.server.buffer.bytes().len();
+        // A message that is not yet whole grows on behind open ones where there is memory for it.
+        let grows = || self.lane.memory.room() >= self.server.buffer.capacity();
+        let far = || held < AHEAD_MOST || self.server.length().is_none();
+        !ahead || held < AHEAD_LEAST || (far() && grows())
+    }
+
+    /// Reads what has come; behind open requests a lack of memory does not end it.
+    async fn read(&mut self, bound: bool) -> Result<usize, Reason> {
+        self.server.buffer.space();
+        self.lane.buffer.set(self.server.buffer.capacity());
+        if !self.lane.hold() && bound {
+            return Err("out_of_memory");
+        }
+        let count = (&*self.stream).read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
+        self.server.buffer.filled(count);
+        self.read += count as u64;
+        if self.marks.len() >= MARKS {
+            self.marks.pop_back().into_iter().for_each(|(_, at)| self.marks.push_back((self.read, at)));
+        } else {
+            self.marks.push_back((self.read, Instant::now()));
+        }
+        Ok(count)
+    }
+
+    /// Reads past what comes behind the last command that is taken, up to the end.
+    async fn read_past(&mut self) -> Result<usize, Reason> {
+        let held = self.server.buffer.bytes().len();
+        self.server.buffer.take(held);
+        while self.past < PAST_MOST {
+            for _ in 0..READS_MOST {
+                let read = (&*self.stream).read(self.server.buffer.space()).await;
+                match read.map_err(|_| "client_reset")? {
+                    0 => return Ok(0),
+                    count => self.past += count,
+                }
+            }
+            future::yield_now().await;
+        }
+        self.end_unread().await
+    }
+
+    /// Waits for the end of a client that is not read.
+    async fn end_unread(&self) -> Result<usize, Reason> {
+        loop {
+            let mut look = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+            let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+            if poll(&mut look, Some(&now)).is_ok() && look[0].revents().contains(PollFlags::RDHUP) {
+                return Ok(0);
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+}
--- a/crates/transport/src/clients.rs
+++ b/crates/transport/src/clients.rs
@@ -1,6 +1,6 @@
 //! The listener and the table of client connections: who is let in, and who makes room.
 
-use super::client::{Connection, Lane};
+use super::client::{Connection, Keys, Lane};
 use super::{Ended, Ends, Event, Memory};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -12,7 +12,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use wharfplank_protocol::server::Violation;
+use wharfplank_protocol::server::{Key, Violation};
 
 /// Connections that have asked nothing for so long make room first: a client sends its startup at once.
 const MUTE: Duration = Duration::from_millis(20);
@@ -38,8 +38,9 @@
     pub(super) lingering: Cell<usize>,
     /// Connections that have asked something.
     asked: Cell<usize>,
-    peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
+    pub(super) peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
+    keys: Keys,
     /// Whether queries can be served: until then an empty query waits.
     pub(super) ready: Cell<bool>,
     pub(super) leaving: Cell<Leaving>,
@@ -60,6 +61,8 @@
 pub(super) struct Peer {
     /// Its answers. Its bell is rung for this connection alone: one for all would wake hundreds to close one.
     pub(super) lane: Rc<Lane>,
+    /// What cancels its requests.
+    pub(super) key: Key,
     /// Since when it stands between requests, or since when it has not asked any.
     pub(super) idle: Cell<Option<Instant>>,
     /// Whether it has asked something.
@@ -89,6 +92,7 @@
             asked: Cell::new(0),
             peers: RefCell::default(),
             numbers: Cell::new(0),
+            keys: Keys::default(),
             ready: Cell::new(false),
             leaving: Cell::new(Leaving::No),
             bell: Bell::new(),
@@ -186,7 +190,7 @@
         let full = self.open() >= self.most.get() && !self.evict(|_| true);
         let lane = Rc::new(Lane::new(&self.memory));
         let (idle, asked, evicted, settled) = Default::default();
-        let peer = Rc::new(Peer { lane, idle, asked, evicted, settled });
+        let peer = Rc::new(Peer { lane, key: self.keys.of(number), idle, asked, evicted, settled });
         self.peers.borrow_mut().insert(number, Rc::clone(&peer));
         let clients = Rc::clone(self);
         let task = async move {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -85,6 +85,8 @@
     Asked(Box<Asked>),
     /// A client went away with its request open.
     Gone(Ticket),
+    /// A client cancelled a request, which has been answered.
+    Cancelled(Ticket),
     /// An attempt ended.
     Attempt {
         /// The request.
--- a/crates/transport/src/members/attempt.rs
+++ b/crates/transport/src/members/attempt.rs
@@ -17,7 +17,7 @@
 
 impl Member {
     /// Sends a statement and waits for its answer. `holds` is how long the reason for the send holds:
-    /// what is not written by then is ended as never sent.
+    /// what is not written by then is ended as never sent, and so is what is not `wanted` just before its first byte.
     ///
     /// Of a long value the report tells as soon as it has begun: the time-out covers its first bytes, and the
     /// [`Stream`] is to be passed on after the report.
@@ -27,13 +27,14 @@
         stage: Rc<Cell<Stage>>,
         timeout: Duration,
         holds: Option<Duration>,
+        wanted: impl Fn() -> bool,
     ) -> (Report, Option<Stream>) {
         let deadline = Instant::now() + timeout;
         let write = |out: &mut Vec<u8>| {
             let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
             statement.write(out, left as i64);
         };
-        self.ask(write, &stage, deadline, holds, Some(&self.shared.figures)).await
+        self.ask(write, &stage, deadline, holds, Some((&self.shared.figures, &wanted))).await
     }
 
     /// Asks for the load report.
@@ -51,7 +52,7 @@
         stage: &Cell<Stage>,
         deadline: Instant,
         holds: Option<Duration>,
-        count: Option<&Figures>,
+        client: Option<(&Figures, &dyn Fn() -> bool)>,
     ) -> (Report, Option<Stream>) {
         let start = Instant::now();
         let until = holds.map_or(deadline, |span| deadline.min(start + span));
@@ -59,13 +60,17 @@
             Ok(connection) => connection,
             Err(ending) => return bare(ending),
         };
+        if client.is_some_and(|(_, wanted)| !wanted()) {
+            self.put(connection);
+            return bare(Ending::Moot);
+        }
         stage.set(Stage::Begun);
         connection.reason = IN_USE;
         connection.requests += 1;
         let idle = connection.used.elapsed();
         let message = client::query(write);
         match within(until, connection.stream.write_all(&message)).await {
-            Some(Ok(())) => count.into_iter().for_each(Figures::dispatched),
+            Some(Ok(())) => client.into_iter().for_each(|(figures, _)| figures.dispatched()),
             // Broken before the last byte: it never ran. Cut off by the clock: it was never whole.
             Some(Err(_)) => {
                 connection.reason = "reset";
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -5,7 +5,7 @@
 mod party;
 
 use bytes::{expect, plain};
-use party::Party;
+use party::{Manner, Party};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -62,12 +62,14 @@
 
     fn logs(&self, wanted: &str) {
         let end = Instant::now() + PATIENCE;
+        let mut others = Vec::new();
         while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
             if wanted.split(' ').all(|part| line.split(' ').any(|p| p == part)) {
                 return;
             }
+            others.push(line);
         }
-        panic!("the log has no line with {wanted}");
+        panic!("the log has no line with {wanted} but\n{}", others.join("\n"));
     }
 }
 
@@ -97,11 +99,13 @@
     let of = |word: &'static str| lines().filter_map(move |l| l.strip_prefix(word));
     let mut parties: HashMap<String, Party> = HashMap::new();
     for discovery in ["d", "e"] {
-        parties.insert(discovery.to_string(), Party::start(false, false, false));
+        parties.insert(discovery.to_string(), Party::start(false, Manner::default()));
     }
     for member in of("member ") {
         let (name, rest) = member.split_once(' ').unwrap_or((member, ""));
-        parties.insert(name.to_string(), Party::start(true, rest.contains("held"), rest.contains("stale")));
+        let has = |manner| rest.contains(manner);
+        let manner = Manner { held: has("held"), stale: has("stale"), gated: has("gated") };
+        parties.insert(name.to_string(), Party::start(true, manner));
     }
     let addresses: Vec<(String, String)> =
         parties.iter().map(|(name, p)| (format!("${name}"), p.address.clone())).collect();
@@ -121,17 +125,20 @@
         .replace("$attempts", attempts)
         .replace("$sockets", of("sockets ").next().unwrap_or("256"))
         .replace("$hosts", &hosts.join(","));
+    let probed = if lines().any(|l| l == "unprobed") { "false" } else { "true" };
+    let config = config.replace("\"MayProbe\":true", &format!("\"MayProbe\":{probed}"));
     // Operators are the connections o1, o2 and so on.
     let operated = lines().any(|l| l.starts_with('o') && l.contains(" > "));
     let config = if operated { config.replacen('{', r#"{"mgmt":"127.0.0.1:0","#, 1) } else { config };
     let mut program = Program::start(&config, &parties["d"].address);
     let mut clients: HashMap<String, TcpStream> = HashMap::new();
+    let mut keys: HashMap<String, Vec<u8>> = HashMap::new();
     for line in lines() {
         let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
-        let text = repeat(&fill(text));
+        let text = named(repeat(&fill(text)), &keys);
         match (who, verb) {
-            ("member" | "attempts" | "sockets", _) => {}
+            ("member" | "attempts" | "sockets" | "unprobed", _) => {}
             ("log", _) => program.logs(&fill(rest)),
             ("wait", ms) => thread::sleep(Duration::from_millis(ms.parse().expect("milliseconds"))),
             ("term", _) => program.signal("-TERM"),
@@ -148,11 +155,10 @@
             (name, verb) if parties.contains_key(name) => {
                 let party = parties.get_mut(name).expect("it is there");
                 match verb {
+                    "<" if text == "EOF" => party.sees_the_end(name),
                     "<" => party.hears(name, &text),
-                    ">" => {
-                        let last = party.last.as_mut().expect("it was asked");
-                        last.write_all(&plain(&text)).expect("taken");
-                    }
+                    ">" => party.says(plain(&text)),
+                    "opens" => party.open(),
                     "accepted" => {
                         let most: usize = text.parse().expect("a number");
                         let accepted = party.accepted.load(Ordering::Relaxed);
@@ -169,14 +175,20 @@
                     _ => panic!("{line}: unknown verb"),
                 }
             }
+            ("keys", _) => differ(rest.split(' ').map(|name| &keys[name]).collect()),
             (name, verb) => {
                 let to = program.admin.as_ref().filter(|_| name.starts_with('o')).unwrap_or(&program.listen);
                 let stream = clients.entry(name.to_string()).or_insert_with(|| connect(to));
                 match verb {
                     ">" => stream.write_all(&plain(&text)).expect("taken"),
                     "<" if text == "EOF" => assert_eq!(stream.read(&mut [0]).ok(), Some(0), "{line}"),
-                    "<" => expect(name, stream, &text),
+                    "<" => {
+                        let got = expect(name, stream, &text);
+                        keys.extend(key(&got).map(|key| (name.to_string(), key)));
+                    }
                     "closes" => drop(clients.remove(name)),
+                    "shuts" => stream.shutdown(Shutdown::Write).expect("open"),
+                    "resets" => rustix::net::connect_unspec(stream).expect("open"),
                     _ => panic!("{line}: unknown verb"),
                 }
             }
@@ -184,6 +196,31 @@
     }
 }
 
+/// The process number and the secret that a greeting names.
+fn key(got: &[u8]) -> Option<Vec<u8>> {
+    let at = got.windows(5).position(|five| five == b"K\0\0\0\x0c")?;
+    got.get(at + 5..at + 13).map(<[u8]>::to_vec)
+}
+
+/// Fills in `$key_c1`, what cancels the requests of `c1`, and `$wrong_c1`, the same with another secret.
+fn named(text: String, keys: &HashMap<String, Vec<u8>>) -> String {
+    let hex = |key: &[u8]| key.iter().map(|byte| format!("\\x{byte:02x}")).collect::<String>();
+    keys.iter().fold(text, |text, (name, key)| {
+        let wrong = [&key[..7], &[key[7] ^ 1]].concat();
+        text.replace(&format!("$key_{name}"), &hex(key)).replace(&format!("$wrong_{name}"), &hex(&wrong))
+    })
+}
+
+/// Each key has a number and a secret, and no two have either in common.
+fn differ(keys: Vec<&Vec<u8>>) {
+    for (i, key) in keys.iter().enumerate() {
+        let (number, secret) = key.split_at(4);
+        assert!(number != [0; 4] && secret != [0; 4], "{key:?} is no key");
+        let others = &keys[..i];
+        assert!(others.iter().all(|o| o[..4] != *number && o[4..] != *secret), "{key:?} among {others:?}");
+    }
+}
+
 fn connect(listen: &str) -> TcpStream {
     let stream = TcpStream::connect(listen).expect("the program listens");
     stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
