--- a/crates/transport/tests/stand/rig.rs
+++ b/crates/transport/tests/stand/rig.rs
@@ -67,7 +67,7 @@
     ) -> (Rc<Cell<Stage>>, impl Future<Output = Report>) {
         let stage: Rc<Cell<Stage>> = Rc::default();
         let statement = Rc::new(Statement::new(format!("/* id=1,d=9 */ {text}").into_bytes(), 10..11));
-        let work = Rc::clone(&self.member).attempt(statement, Rc::clone(&stage), deadline, holds);
+        let work = Rc::clone(&self.member).attempt(statement, Rc::clone(&stage), deadline, holds, || true);
         (stage, async { work.await.0 })
     }
 
