A process that takes any free port replaces no other, and inherits no other's list

At fault: `run` in crates/program/src/lib.rs, `post`.

Change: there is a place for the next process only where the port is named.

Test: tests/any_port.rs fails without the change (both listened at one address) and passes with it.

--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -47,8 +47,10 @@
 /// Serves until the process is asked to end.
 pub fn run(mut config: Config, settings: &Settings) -> Result<(), String> {
     let signals = signals::take().map_err(|e| format!("signals: {e}"))?;
-    // Only where operators call is a process replaced while it serves; elsewhere nothing else listens.
-    let post = config.admin.map(|_| handover::path(config.listen));
+    // Only where operators call is a process replaced while it serves; elsewhere nothing else listens. One that takes
+    // any free port replaces none, since nobody can tell whose port that was.
+    let replaces = config.admin.is_some() && config.listen.port() != 0;
+    let post = replaces.then(|| handover::path(config.listen));
     let mut inherited = post.as_deref().map_or(Ok(None), handover::ask).map_err(listens(config.listen))?;
     let listener = match inherited.as_ref() {
         Some(inherited) => inherited.socket().and_then(Async::new),
