What comes in one moment with a client's end: it counts before what would be sent on

Changed: `hear` reads what is there without waiting, up to the end, before anything is asked; where an attempt ends and `Lane::has_left` says that the client has gone, `Broker::note_left` does what `Event::Gone` would do, first.

--- a/crates/program/src/broker/attempts.rs
+++ b/crates/program/src/broker/attempts.rs
@@ -52,6 +52,7 @@
                 self.keep_ending(id, host, ending);
             }
             self.talk.saw(host, sent, ending);
+            self.close_left(id);
             let outcome = self.outcome(id, attempt, host, sent, &Report::bare(ending));
             self.route(self.clock.now(), outcome);
             self.settle_probes();
@@ -145,6 +146,7 @@
         if report.flow.is_some() {
             return self.began(id, attempt, report);
         }
+        self.note_left(id);
         let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
         self.talk.ended(self.clock.now(), id, report.ending);
         self.lookups.ended(self.clock.now(), (id, attempt), report.ending);
--- a/crates/program/src/broker/requests.rs
+++ b/crates/program/src/broker/requests.rs
@@ -91,6 +91,20 @@
         }
     }
 
+    /// An attempt has ended. Where the client has gone and the event that says so is still on its way, that comes
+    /// first: nothing more is tried or looked for.
+    pub(super) fn note_left(&mut self, id: RequestId) {
+        let left = self.requests.get(&id).filter(|open| open.lane.has_left()).map(|open| open.ticket);
+        left.into_iter().for_each(|ticket| self.gone(ticket));
+    }
+
+    /// One that was not sent since its client has gone is over.
+    pub(super) fn close_left(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|open| open.lane.has_left()) {
+            self.close(id);
+        }
+    }
+
     /// Ends the attempts of a request that nobody waits for any more: one that waits for its connection never begins,
     /// and one that has begun is given up where that is wanted.
     fn withdraw(&mut self, id: RequestId, attempts: u32, begun: bool) {
--- a/crates/transport/src/client/lane.rs
+++ b/crates/transport/src/client/lane.rs
@@ -73,6 +73,11 @@
         !self.left.get() && self.pipeline.borrow().awaits(ticket)
     }
 
+    /// Whether its client has gone.
+    pub fn has_left(&self) -> bool {
+        self.left.get()
+    }
+
     /// The client has gone: nothing is awaited any more. Tells what was open.
     pub(super) fn leave(&self) -> Vec<Ticket> {
         self.left.set(true);
--- a/crates/transport/src/client/presence.rs
+++ b/crates/transport/src/client/presence.rs
@@ -8,6 +8,7 @@
 use async_io::Timer;
 use futures_lite::{future, AsyncReadExt};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::io::{ErrorKind, Read};
 use std::time::{Duration, Instant};
 
 /// Between looks for the end of a client that is not read.
@@ -33,11 +34,11 @@
             if count == 0 || !self.reads(true) {
                 break;
             }
-            match future::poll_once(self.read(false)).await {
+            match self.read_at_once()? {
                 None => break,
-                Some(Ok(0)) => return Ok(0),
-                Some(read) => read?,
-            };
+                Some(0) => return Ok(0),
+                Some(_) => {}
+            }
         }
         Ok(count)
     }
@@ -53,12 +54,33 @@
 
     /// Reads what has come; behind open requests a lack of memory does not end it.
     async fn read(&mut self, bound: bool) -> Result<usize, Reason> {
-        self.server.buffer.space();
-        self.lane.buffer.set(self.server.buffer.capacity());
-        if !self.lane.hold() && bound {
+        if !self.has_memory() && bound {
             return Err("out_of_memory");
         }
         let count = (&*self.stream).read(self.server.buffer.space()).await.map_err(|_| "client_reset")?;
+        self.filled(count);
+        Ok(count)
+    }
+
+    /// Reads what is there now; `None` where nothing is.
+    fn read_at_once(&mut self) -> Result<Option<usize>, Reason> {
+        self.has_memory();
+        let count = match self.stream.get_ref().read(self.server.buffer.space()) {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return Ok(None),
+            read => read.map_err(|_| "client_reset")?,
+        };
+        self.filled(count);
+        Ok(Some(count))
+    }
+
+    /// Makes room to read into; false where it is large and all together have too much.
+    fn has_memory(&mut self) -> bool {
+        self.server.buffer.space();
+        self.lane.buffer.set(self.server.buffer.capacity());
+        self.lane.hold()
+    }
+
+    fn filled(&mut self, count: usize) {
         self.server.buffer.filled(count);
         self.read += count as u64;
         if self.marks.len() >= MARKS {
@@ -66,7 +88,6 @@
         } else {
             self.marks.push_back((self.read, Instant::now()));
         }
-        Ok(count)
     }
 
     /// Reads past what comes behind the last command that is taken, up to the end.
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -60,6 +60,15 @@
         assert!(Command::new("kill").args([name, &id]).status().is_ok_and(|s| s.success()));
     }
 
+    /// It stands still, as one does whose machine gives it no time.
+    fn stop(&self) {
+        self.signal("-STOP");
+        let state = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&state).is_ok_and(|state| state.contains(") T ")) {
+            thread::yield_now();
+        }
+    }
+
     fn logs(&self, wanted: &str) {
         let end = Instant::now() + PATIENCE;
         let mut others = Vec::new();
@@ -142,6 +151,8 @@
             ("log", _) => program.logs(&fill(rest)),
             ("wait", ms) => thread::sleep(Duration::from_millis(ms.parse().expect("milliseconds"))),
             ("term", _) => program.signal("-TERM"),
+            ("stop", _) => program.stop(),
+            ("goes", "on") => program.signal("-CONT"),
             ("hup", cut) => {
                 let length = if cut == "cut" { config.len() / 2 } else { config.len() };
                 let moved = config.replace(&parties["d"].address, &parties["e"].address);
@@ -159,6 +170,7 @@
                     "<" => party.hears(name, &text),
                     ">" => party.says(plain(&text)),
                     "opens" => party.open(),
+                    "silent" => assert!(party.messages.try_recv().is_err(), "{name} was asked something"),
                     "accepted" => {
                         let most: usize = text.parse().expect("a number");
                         let accepted = party.accepted.load(Ordering::Relaxed);
