--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -136,6 +136,9 @@
         .replace("$hosts", &hosts.join(","));
     let probed = if lines().any(|l| l == "unprobed") { "false" } else { "true" };
     let config = config.replace("\"MayProbe\":true", &format!("\"MayProbe\":{probed}"));
+    // Settings beside those of the file, or in their place.
+    let config =
+        of("settings ").fold(config, |config, text| config.replace(r#""Balancers":1,"#, &format!("{text},")));
     // Operators are the connections o1, o2 and so on.
     let operated = lines().any(|l| l.starts_with('o') && l.contains(" > "));
     let config = if operated { config.replacen('{', r#"{"mgmt":"127.0.0.1:0","#, 1) } else { config };
@@ -147,7 +150,7 @@
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
         let text = named(repeat(&fill(text)), &keys);
         match (who, verb) {
-            ("member" | "attempts" | "sockets" | "unprobed", _) => {}
+            ("member" | "attempts" | "sockets" | "unprobed" | "settings", _) => {}
             ("log", _) => program.logs(&fill(rest)),
             ("wait", ms) => thread::sleep(Duration::from_millis(ms.parse().expect("milliseconds"))),
             ("term", _) => program.signal("-TERM"),
