A process is ready 3 s after it listens, whatever is down

Cause: `due` (broker/course.rs) waited for a list with a member in it without a bound: a process with an empty `known` and discovery down, silent, refusing or overbooked, or with an empty list told, never answered an empty query. At the start, `handover::inherit` bound each read by ASK_WAIT and read byte by byte: a predecessor that trickles its state held the start up for good.

Change: past READY_WAIT nothing is waited for. The predecessor's whole answer has ASK_WAIT (1.5 s), and is read buffered.

--- a/crates/program/src/broker/course.rs
+++ b/crates/program/src/broker/course.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// The front is told that queries can be served once discovery has answered and a member is connected,
-/// or after these times: a proxy that is cut off still answers.
+/// The front is told that queries can be served once discovery has answered, there is a list and a member is
+/// connected, or after these times: a proxy that is cut off, or has no list at all, still answers.
 const DISCOVERY_WAIT: Micros = 500_000;
 const READY_WAIT: Micros = 3_000_000;
 /// After the signal to end: new connections are taken for the first, and what is open after the second
@@ -89,11 +89,12 @@
         if !self.ready {
             let age = now - self.started;
             let told = self.told || age >= DISCOVERY_WAIT;
-            let warm = self.members.values().any(|m| m.warm()) || age >= READY_WAIT;
+            let late = age >= READY_WAIT;
+            let warm = late || self.members.values().any(|m| m.warm());
             let wanted = self.members.iter().filter(|(_, m)| !warm && m.wanted()).map(|(host, _)| *host);
             let knock = self.opening.next(now, wanted);
             knock.and_then(|host| self.members.get(&host)).into_iter().for_each(|m| m.knock());
-            if told && warm && !self.listed.is_empty() {
+            if told && warm && (late || !self.listed.is_empty()) {
                 self.ready = true;
                 self.clients.ready();
             }
--- a/crates/transport/src/handover.rs
+++ b/crates/transport/src/handover.rs
@@ -15,10 +15,10 @@
     recvmsg, sendmsg, socket_with, sockopt, AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage,
     RecvFlags, SendAncillaryBuffer, SendAncillaryMessage, SendFlags, SocketFlags, SocketType,
 };
-use std::io::{self, BufRead, IoSlice, IoSliceMut, Read};
+use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -30,7 +30,7 @@
 const LATE: u8 = b'B';
 /// The longest line: a state of some thousand members.
 const LINE_MOST: u64 = 4 * 1024 * 1024;
-/// What the older process may take to answer, at the start of the younger.
+/// What the older process may take for its whole answer, at the start of the younger.
 const ASK_WAIT: Duration = Duration::from_millis(1_500);
 const WRITE_WAIT: Duration = Duration::from_secs(1);
 /// Connections that may wait to be accepted.
@@ -96,39 +96,43 @@
 }
 
 /// Asks the process at this address to be replaced. `Ok(None)` where there is none, or one that does not answer in the
-/// way this one knows; an error where another replaces it already.
+/// way this one knows, or not whole within [`ASK_WAIT`]; an error where another replaces it already.
 pub fn ask(path: &Path) -> io::Result<Option<Inherited>> {
     let Ok(stream) = UnixStream::connect(path) else { return Ok(None) };
-    match inherit(stream) {
+    let inherited =
+        async { within(Instant::now() + ASK_WAIT, inherit(Async::new(stream)?)).await.transpose() };
+    match async_io::block_on(inherited) {
         Err(e) if e.kind() == io::ErrorKind::ResourceBusy => Err(e),
-        other => Ok(other.ok()),
+        other => Ok(other.ok().flatten()),
     }
 }
 
-fn inherit(stream: UnixStream) -> io::Result<Inherited> {
-    stream.set_read_timeout(Some(ASK_WAIT))?;
+async fn inherit(stream: Async<UnixStream>) -> io::Result<Inherited> {
+    let rights = stream.read_with(take).await?;
+    let listener = TcpListener::from(rights.ok_or(io::ErrorKind::InvalidData)?);
+    // What comes behind the line stays in the reader, for the link.
+    let (mut stream, mut line) = (BufReader::new(stream), String::new());
+    (&mut stream).take(LINE_MOST).read_line(&mut line).await?;
+    let state: State = serde_json::from_str(&line)?;
+    if state.version != wharfplank_admin::succession::VERSION {
+        return Err(io::ErrorKind::Unsupported.into());
+    }
+    Ok(Inherited { listener, state, stream })
+}
+
+/// Takes the first byte, and the listening socket that comes with it.
+fn take(stream: &UnixStream) -> io::Result<Option<OwnedFd>> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut byte = [0];
-    recvmsg(&stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
     if byte[0] == LATE {
         return Err(io::Error::new(io::ErrorKind::ResourceBusy, "another process replaces it already"));
     }
-    let rights = control.drain().find_map(|message| match message {
+    Ok(control.drain().find_map(|message| match message {
         RecvAncillaryMessage::ScmRights(mut rights) => rights.next(),
         _ => None,
-    });
-    let listener = TcpListener::from(rights.ok_or(io::ErrorKind::InvalidData)?);
-    let mut line = String::new();
-    // Not a byte is read past the line: what follows is for the link.
-    let mut reader = io::BufReader::with_capacity(1, &stream).take(LINE_MOST);
-    reader.read_line(&mut line)?;
-    let state: State = serde_json::from_str(&line)?;
-    if state.version != wharfplank_admin::succession::VERSION {
-        return Err(io::ErrorKind::Unsupported.into());
-    }
-    stream.set_read_timeout(None)?;
-    Ok(Inherited { listener, state, stream: BufReader::new(Async::new(stream)?) })
+    }))
 }
 
 impl Inherited {
