The end takes what the machine accepted; clients keep within their descriptors

Causes, each forced by a test first: - `Broker::over` (broker/course.rs) looked at open connections in the very turn in which it closed the listener, before the listener had taken what the machine had accepted: a process that stood still over those 0.7 s ended with a whole query in its backlog, which was reset. - `Replacement` (broker/replacement.rs) held the listening socket to the process's end: late connections were accepted by the machine and reset. - `Clients::wait` (client/input.rs) ended a connection whose empty query waited for a start that does not come, with requests open behind it or unread. - Clients that were told of an error held up to a quarter of the places beyond them, and one that was asked to make room and read a request stayed beyond them as well (clients.rs, `admit`): 193 descriptors of 192 were held, with members' share full and operators silent.

Ruled out by tests that pass before and after: the signal before the first byte, in half a startup, in half a query, over a query that has arrived unread; many commands in one write at the signal and at the idle time; a request that crosses either close is answered or never asked; a second SIGTERM; SIGHUP before and after SIGTERM.

Change: the process ends once the listener is done, and the listener's socket and the post go at that moment; a successor keeps its own hold of the socket. Empty queries before the start are answered where something stands behind them. A tenth of clients' places is kept beside them, out of members' share, and past that nothing lingers and nobody is evicted. Ports of tests lie below those that the machine gives to connections.

--- a/crates/program/src/broker/course.rs
+++ b/crates/program/src/broker/course.rs
@@ -104,6 +104,7 @@
             self.closed = true;
             self.lookups.end();
             self.clients.close();
+            self.leave_socket();
         }
         if !self.gave_up && now >= leaving_at + give_up_after(self.terms.longest) {
             self.gave_up = true;
@@ -114,7 +115,7 @@
     /// Whether the process may end.
     pub(super) fn over(&self) -> bool {
         let Some(leaving_at) = self.leaving_at else { return false };
-        let done = self.requests.is_empty() && self.clients.open() == 0;
+        let done = self.requests.is_empty() && self.clients.over();
         // What still passes through ends by itself, or with the process.
         let late = self.clock.now() >= leaving_at + give_up_after(self.terms.longest) + LAST_WORDS;
         (self.closed && done) || (late && self.passing.none())
--- a/crates/program/src/broker/replacement.rs
+++ b/crates/program/src/broker/replacement.rs
@@ -14,7 +14,8 @@
     post: PathBuf,
     /// Listens there; dropping it ends that, so that one listens at a time however many successors die.
     posted: Option<Task<()>>,
-    listener: Rc<Async<TcpListener>>,
+    /// Until this process takes no connections any more: it closes then, unless another has it too.
+    listener: Option<Rc<Async<TcpListener>>>,
     all: Holds,
     succession: Succession,
     link: Option<Link>,
@@ -38,7 +39,7 @@
         let mut r = Replacement {
             post,
             posted: None,
-            listener,
+            listener: Some(listener),
             all,
             succession: Succession::default(),
             link: None,
@@ -119,12 +120,14 @@
         let Some(r) = &mut self.replacement else { return };
         match other {
             Other::Asks(stream) => {
+                // Without a socket to give it is as if nobody had been asked.
+                let Some(listener) = r.listener.clone() else { return };
                 if r.succession.asked(held) {
                     let state = self.state(held);
                     log::replacement("is being replaced", state.out.len());
                     let Some(r) = &mut self.replacement else { return };
                     let (executor, events) = (&self.shared.executor, self.events.clone());
-                    r.link = Some(Link::give(executor, stream, Rc::clone(&r.listener), &state, events));
+                    r.link = Some(Link::give(executor, stream, listener, &state, events));
                 } else {
                     self.shared.executor.spawn(handover::turn_away(stream)).detach();
                 }
@@ -155,7 +158,7 @@
                 // The successor may have put its own socket in the place of this one's.
                 let older = r.succession.tells_holds();
                 let waited = r.succession.lost();
-                if older {
+                if older && r.listener.is_some() {
                     self.take_post();
                 }
                 self.answer_calls(&waited);
@@ -164,6 +167,13 @@
         self.share_out();
     }
 
+    /// Gives up the listening socket, and the place where the next process would ask for it.
+    pub(super) fn leave_socket(&mut self) {
+        if let Some(r) = &mut self.replacement {
+            (r.listener, r.posted) = (None, None);
+        }
+    }
+
     fn answer_calls(&mut self, numbers: &[u64]) {
         let Some(r) = &mut self.replacement else { return };
         let waiting = std::mem::take(&mut r.waiting);
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -25,15 +25,18 @@
 use wharfplank_protocol::catalog;
 use wharfplank_settings::Settings;
 use wharfplank_transport::admin::{Admin, PLACES};
-use wharfplank_transport::clients::Clients;
+use wharfplank_transport::clients::{self, Clients};
 use wharfplank_transport::discovery::Watch;
 use wharfplank_transport::{handover, members, signals, Ends, Memory, Now};
 
 /// Events that may wait for the broker; past that connections wait.
 const EVENTS: usize = 1024;
-/// Descriptors kept for the listener, discovery, signals, standard streams and the reactor.
+/// Descriptors kept for what there is but once: three standard streams, three of the reactor, two for signals, the
+/// listener and a connection just accepted, three of discovery while one takes another's place, and a file that is read;
+/// some clients beyond their places, and what the settings' own parts hold.
 const RESERVED: usize = 24;
-/// Descriptors kept for operators' calls, where they may call.
+/// Descriptors kept for operators' calls, where they may call: their places and door, the next process's door, and
+/// two of the link with it.
 const RESERVED_ADMIN: usize = PLACES + 4;
 /// Calls of operators that may wait for the broker.
 const CALLS: usize = 2 * PLACES;
@@ -67,14 +70,15 @@
     let reserved = RESERVED + if admin.is_some() { RESERVED_ADMIN } else { 0 };
     let sockets = config.sockets.saturating_sub(reserved).max(8);
     let to_clients = sockets * 6 / 10;
+    let to_members = sockets - to_clients - clients::beyond(to_clients);
     let budgets = settings.budgets.as_ref().map(|b| budgets::start(b, clock, &executor)).transpose()?;
     let shared = Rc::new(members::Shared {
         executor: Rc::clone(&executor),
         ends: Rc::clone(&ends),
         connect_timeout: Duration::from_micros(config.terms.connect_timeout.max(1) as u64),
         idle_most: Duration::from_micros(config.terms.keepalive.max(1) as u64 * 6 / 10),
-        most: Cell::new(sockets - to_clients),
-        most_each: ((sockets - to_clients) / 4).max(1),
+        most: Cell::new(to_members),
+        most_each: (to_members / 4).max(1),
         open: Cell::new(0),
         memory: Memory::new(config.memory / LARGE_PART),
         rowless: settings.missing.is_some(),
@@ -128,7 +132,7 @@
         executor.spawn(Admin::new(Rc::clone(&executor), calls).listen(listener)).detach();
     }
     if let Some(post) = post {
-        let all = Holds { clients: to_clients, members: sockets - to_clients };
+        let all = Holds { clients: to_clients, members: to_members };
         broker.replaceable(post, Rc::clone(&listener), all, inherited.take());
     }
     executor.spawn(Rc::clone(&clients).listen(listener)).detach();
--- a/crates/transport/src/client/input.rs
+++ b/crates/transport/src/client/input.rs
@@ -26,8 +26,8 @@
             Leaving::All => !open,
         };
         // An empty query that waits for a start that will not come.
-        if open && !self.ready.get() && self.leaving.get() != Leaving::No && c.lane.pipeline.borrow().waits()
-        {
+        let unstarted = self.leaving.get() != Leaving::No && c.lane.pipeline.borrow().waits();
+        if unstarted && !self.answers_empty(c) && c.hangs_up() {
             return Err("shutdown");
         }
         let close = leave || ((idle || mute) && c.peer.evicted.get());
@@ -96,6 +96,16 @@
     }
 }
 
+impl Clients {
+    /// Whether an empty query is answered. It waits for the process's start; where that will not come since the
+    /// process was asked to end before, it is answered for the sake of what stands behind it.
+    pub(super) fn answers_empty(&self, c: &Connection) -> bool {
+        let pipeline = c.lane.pipeline.borrow();
+        let behind = pipeline.has_more() || pipeline.ending() || !c.server.buffer.bytes().is_empty();
+        self.ready.get() || (behind && self.leaving.get() != Leaving::No)
+    }
+}
+
 impl Connection {
     /// Whether more may be read: not past the end, and not much that cannot be asked yet.
     fn reads(&self) -> bool {
--- a/crates/transport/src/client/output.rs
+++ b/crates/transport/src/client/output.rs
@@ -5,7 +5,7 @@
 use crate::flow::{Flow, Piece};
 use crate::within;
 use async_channel::{Receiver, TryRecvError};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::net::Shutdown;
 use std::time::Instant;
 use wharfplank_protocol::pipeline::{Answer, Next, Ticket};
@@ -41,7 +41,8 @@
     pub(super) async fn write(&self, c: &mut Connection) -> Result<bool, Reason> {
         let mut wrote = false;
         loop {
-            let next = c.lane.pipeline.borrow_mut().next(self.ready.get());
+            let ready = self.answers_empty(c);
+            let next = c.lane.pipeline.borrow_mut().next(ready);
             match next {
                 None => break,
                 Some(Next::Pass(ticket)) => match c.pass(ticket)? {
@@ -77,8 +78,13 @@
     /// Tells the client why the connection ends, and waits a little until it has it, unless many wait.
     pub(crate) async fn fatal(&self, c: &mut Connection, violation: Violation) {
         c.server.fatal(violation);
-        let waits = self.lingering.get() < self.most.get() / 4;
-        if c.flush().await.is_err() || c.stream.get_ref().shutdown(Shutdown::Write).is_err() || !waits {
+        let waits = self.may_linger();
+        if c.flush().await.is_err() || c.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        if !waits {
+            // What has come already, at least.
+            future::poll_once(c.drain()).await;
             return;
         }
         self.lingering.set(self.lingering.get() + 1);
--- a/crates/transport/src/clients.rs
+++ b/crates/transport/src/clients.rs
@@ -1,4 +1,8 @@
-//! The listener and the table of client connections: who is let in, and who makes room.
+//! The listener and the table of client connections: who is let in, and until when.
+
+mod places;
+
+pub use places::beyond;
 
 use super::client::{Connection, Lane};
 use super::{Ended, Ends, Event, Memory};
@@ -14,10 +18,6 @@
 use std::time::{Duration, Instant};
 use wharfplank_protocol::server::Violation;
 
-/// Connections that have asked nothing for so long make room first: a client sends its startup at once.
-const MUTE: Duration = Duration::from_millis(20);
-/// Then those that stood idle for so long since their last answer.
-const REST: Duration = Duration::from_secs(2);
 /// The most connections that the machine holds accepted for a listener.
 const BACKLOG: usize = 4096;
 /// Pause where no descriptor was left for a connection.
@@ -43,6 +43,8 @@
     /// Whether queries can be served: until then an empty query waits.
     pub(super) ready: Cell<bool>,
     pub(super) leaving: Cell<Leaving>,
+    /// Whether the listener may still find connections that the machine has accepted.
+    listens: Cell<bool>,
     /// Wakes the listener.
     bell: Bell,
 }
@@ -91,15 +93,11 @@
             numbers: Cell::new(0),
             ready: Cell::new(false),
             leaving: Cell::new(Leaving::No),
+            listens: Cell::new(true),
             bell: Bell::new(),
         })
     }
 
-    /// How many are open.
-    pub fn open(&self) -> usize {
-        self.peers.borrow().len()
-    }
-
     /// Empty queries are answered from now on.
     pub fn ready(&self) {
         self.ready.set(true);
@@ -114,11 +112,6 @@
         self.ring();
     }
 
-    /// Room for so many connections from now on.
-    pub fn limit(&self, most: usize) {
-        self.most.set(most);
-    }
-
     /// Takes new connections from now on, or leaves them to another process that listens on the same socket.
     pub fn take_new(&self, takes: bool) {
         if self.takes.replace(takes) != takes {
@@ -132,6 +125,11 @@
         self.ring();
     }
 
+    /// Whether all is over: none is open, and after [`Clients::close`] none is left that the machine had accepted.
+    pub fn over(&self) -> bool {
+        !self.listens.get() && self.open() == 0
+    }
+
     /// Wakes the listener and every connection.
     fn ring(&self) {
         self.bell.notify(usize::MAX);
@@ -145,7 +143,8 @@
         loop {
             let bell = self.bell.listen();
             if self.leaving.get() == Leaving::All {
-                return self.take_rest(&listener).await;
+                self.take_rest(&listener).await;
+                return self.listens.set(false);
             }
             if !self.takes.get() {
                 bell.await;
@@ -183,7 +182,7 @@
 
     fn admit(self: &Rc<Self>, stream: Async<TcpStream>, address: SocketAddr) {
         let (number, since) = (self.number(), Instant::now());
-        let full = self.open() >= self.most.get() && !self.evict(|_| true);
+        let full = self.is_full();
         let lane = Rc::new(Lane::new(&self.memory));
         let (idle, asked, evicted, settled) = Default::default();
         let peer = Rc::new(Peer { lane, idle, asked, evicted, settled });
@@ -206,38 +205,8 @@
         self.executor.spawn(task).detach();
     }
 
-    /// Counts a connection that asks something. Clients share a bound number of connections: past two fifths of
-    /// the places the one idle longest gives way.
-    pub(super) fn count(&self, peer: &Peer) {
-        if !peer.asked.replace(true) {
-            self.asked.set(self.asked.get() + 1);
-            if self.asked.get() > self.most.get() * 2 / 5 {
-                self.evict(|p| p.asked.get());
-            }
-        }
-    }
-
     /// A number for a connection or a request, never given twice.
     pub(super) fn number(&self) -> u64 {
         self.numbers.replace(self.numbers.get() + 1)
     }
-
-    /// Asks a connection without an open request to close: one that has asked nothing yet, else the one that
-    /// stood idle longest. One that asked lately is likely to ask again, so the newest mute ones go before it.
-    fn evict(&self, which: impl Fn(&Peer) -> bool) -> bool {
-        let peers = self.peers.borrow();
-        let now = Instant::now();
-        let rank = |p: &Peer, since: Instant| match (p.asked.get(), now - since) {
-            (false, age) if age >= MUTE => 0,
-            (true, age) if age >= REST => 1,
-            (false, _) => 2,
-            (true, _) => 3,
-        };
-        let idle = peers.values().filter(|p| !p.evicted.get() && which(p));
-        let idle = idle.filter_map(|p| p.idle.get().map(|since| (rank(p, since), since, p)));
-        let Some((.., peer)) = idle.min_by_key(|(rank, since, _)| (*rank, *since)) else { return false };
-        peer.evicted.set(true);
-        peer.lane.ring();
-        true
-    }
 }
--- a/tests/common/stand.rs
+++ b/tests/common/stand.rs
@@ -1,6 +1,10 @@
 //! A program of its own, with a stand-in member and operators' calls, for tests that end processes.
 #![allow(dead_code)]
 
+mod ports;
+
+pub use ports::free_port;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -100,11 +104,6 @@
     }
 }
 
-/// A port that was free a moment ago.
-pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port()
-}
-
 /// One process of the proxy.
 pub struct Process {
     pub child: Child,
@@ -136,13 +135,46 @@
         Self::start_set(folder, port, members, change, None)
     }
 
-    /// The same, with settings of the program's own.
+    /// With settings of the program's own.
     pub fn start_set(
         folder: &Path,
         port: u16,
         members: &[(&str, &str)],
         change: impl FnOnce(String) -> String,
         settings: Option<&Path>,
+    ) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfplank"));
+        if let Some(settings) = settings {
+            command.args(["serve", "--settings"]).arg(settings);
+        }
+        Self::spawn(folder, port, members, change, command)
+    }
+
+    /// The same, with so many descriptors as the machine gives it and as its configuration says.
+    pub fn start_limited(
+        folder: &Path,
+        port: u16,
+        members: &[(&str, &str)],
+        change: impl FnOnce(String) -> String,
+        descriptors: usize,
+    ) -> Process {
+        let mut command = Command::new("sh");
+        command.args([
+            "-c",
+            "ulimit -n $0 && exec \"$1\"",
+            &descriptors.to_string(),
+            env!("CARGO_BIN_EXE_wharfplank"),
+        ]);
+        let sockets = format!("\"sockets\":{descriptors}");
+        Self::spawn(folder, port, members, |c| change(c.replace("\"sockets\":256", &sockets)), command)
+    }
+
+    fn spawn(
+        folder: &Path,
+        port: u16,
+        members: &[(&str, &str)],
+        change: impl FnOnce(String) -> String,
+        mut command: Command,
     ) -> Process {
         let hosts: Vec<String> = members
             .iter()
@@ -164,13 +196,9 @@
         let config = change(config);
         let path = folder.join(format!("{}.json", admin.replace(':', "-")));
         std::fs::write(&path, config).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfplank"));
         for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_MGMT"] {
             command.env_remove(name);
         }
-        if let Some(settings) = settings {
-            command.args(["serve", "--settings"]).arg(settings);
-        }
         command.env("BALANCER_CONFIG", &path).env("TMPDIR", folder);
         let child = command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts");
         Process { child, admin, config: path }
@@ -192,14 +220,20 @@
             if self.call("health").as_deref() == Some("ok ready") {
                 return;
             }
+            let state = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+            assert!(state.is_ok_and(|state| !state.contains(") Z ")), "it has ended");
             thread::sleep(Duration::from_millis(10));
         }
         panic!("never ready");
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM")
+    }
+
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().is_ok_and(|s| s.success()));
+        assert!(Command::new("kill").args([name, &id]).status().is_ok_and(|s| s.success()));
     }
 }
 
