A process that gives up late still reads what the machine accepted

Cause: `Broker::over` counted the last words from the signal, not from when the rest was given up: a process that stood still past both (3.3 s after SIGTERM) ended in the turn in which it gave up, so that a connection it took in that turn was greeted and its query never answered. Seen once in 33 runs of tests/shutdown.rs on a machine with a load of 90; forced since by stopping the process. Ruled out: that the answers to what was open are lost with it; they are written in the turns that the signals' end leaves.

Change: the last words count from when the rest is given up (course.rs, `due`).

--- a/crates/program/src/broker/course.rs
+++ b/crates/program/src/broker/course.rs
@@ -108,6 +108,8 @@
         }
         if !self.gave_up && now >= leaving_at + give_up_after(self.terms.longest) {
             self.gave_up = true;
+            // A process that stood still gives up late: the answers have their time to be written all the same.
+            self.leaving_at = Some(now - give_up_after(self.terms.longest));
             self.tell(routing::Event::Close);
         }
     }
