A start that should have ended fails its test at once

Change: a program that says it started is ended by its id, and the case fails. The failure on the code as it was has not been run again in this form.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -10,6 +10,7 @@
 use config::{good, with};
 use rstest::rstest;
 use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read};
 
 #[rstest]
 #[case::no_classes("/settings/Classes", json!([]), "field Classes:")]
@@ -25,8 +26,14 @@
     let directory = tempfile::tempdir().expect("a directory");
     let path = directory.path().join("config.json");
     std::fs::write(&path, with(&good(), place, value).to_string()).expect("written");
-    let output = play::command().env("BALANCER_CONFIG", &path).output().expect("the program runs");
-    let said = String::from_utf8_lossy(&output.stderr);
-    assert_eq!(output.status.code(), Some(3), "{said}");
+    let mut child = play::command().env("BALANCER_CONFIG", &path).spawn().expect("the program starts");
+    let mut stderr = BufReader::new(child.stderr.take().expect("its standard error"));
+    let mut said = String::new();
+    stderr.read_line(&mut said).expect("text");
+    if said.starts_with("started") {
+        child.kill().and_then(|()| child.wait()).expect("it ends");
+    }
+    stderr.read_to_string(&mut said).expect("text");
+    assert_eq!(child.wait().expect("it ends").code(), Some(3), "{said}");
     assert!(said.lines().count() == 1 && said.contains(field), "{said}");
 }
