Weigh what cold members are sent by work, with a margin; long reads wait for room

Cause: `budget` counted each send to a member that has just started as one, while what fells it is counted in requests of mean work. Long reads without a position all go to one replica (`keeper` in reads.rs), by chance the cold one, and one of them is some 15 requests of mean work. Warm kin that answer short reads only were counted as one each as well, so their rate said more than a member can do. The sum of all routers has a bound with no margin, and trials of suspects in `read` asked no budget.

Change: a member's rate and a budget count work by what each class takes (`weight`); nine tenths of the fall multiple; a cold member gets nothing over two requests of mean work unless six such fit into the span; trials keep to the budget.

tests/inherited.rs: one test counted sends of the moment, where the old router had one more out that the test never answered; it compares what is in flight now, as its name says.

--- a/crates/routing/src/policy/held.rs
+++ b/crates/routing/src/policy/held.rs
@@ -77,10 +77,8 @@
         let (Some(p), Some(m)) = (self.pending.get_mut(&id), self.members.get_mut(&host)) else { return };
         let (attempt, class, key) = (AttemptNo(p.attempts), p.asked.class, p.asked.key);
         m.flights.push(Flight { id, attempt, class, key, sent: now, cancelled: false });
-        p.attempts += 1;
-        p.flying = Some(host);
-        p.probed = None;
-        (m.budget, m.budget_at) = (budget - 1.0, now);
+        (p.attempts, p.flying, p.probed) = (p.attempts + 1, Some(host), None);
+        (m.budget, m.budget_at) = (budget.map_or(0.0, |b| b.1) - weight(&self.works, class), now);
         // A bound counts from the last byte sent, and the position ages until then; the primary's does not.
         let holds_until = match self.settings.classes[class.0].consistency {
             Consistency::Bounded(bound) if m.primary_at <= m.replica_at => Some(m.position + bound),
--- a/crates/routing/src/policy/load.rs
+++ b/crates/routing/src/policy/load.rs
@@ -1,5 +1,4 @@
-//! How much members can hold, as answers and reports tell; what is shed where answers come late; and what a
-//! member that has just started may be sent, so that all routers together do not fell it.
+//! What members can hold, what is shed where answers come late, and what one that has just started may get.
 
 use super::*;
 
@@ -23,12 +22,17 @@
 const QUEUE_CORES: f64 = 4.0;
 const QUEUE_MOST: f64 = 3.0;
 const QUEUE_FORGET: f64 = 1e6;
-/// The least rate of all routers' answers per µs.
+/// The least rate of all routers' answers per µs, and the part of what fells a cold member that they send.
 const LEAST_RATE: f64 = 4e-6;
-
-/// How much of the demand for one kind of member of a group is shed, as all their answers show; the
-/// part `exp(-shed)` is sent on. Unlike a limit it works with one request in flight, and with any
-/// number of routers: each sheds a part of its own demand.
+const MARGIN: f64 = 0.9;
+/// A cold member gets requests of up to so much mean work, and such that so many fit into what all may send.
+const LIGHT: f64 = 2.0;
+const HEAVY_LEAST: f64 = 6.0;
+/// Answers that the first guess of what a class takes counts for.
+const GUESSED: f64 = 4.0;
+
+/// How much of the demand for one kind of member of a group is shed, as their answers show: `exp(-shed)` is
+/// sent on. Unlike a limit it works with one in flight and any number of routers: each sheds its own demand.
 #[derive(Default)]
 pub(super) struct Shed {
     value: f64,
@@ -48,6 +52,15 @@
     }
 }
 
+/// A request in requests of mean work. A class seldom answered is measured by how guesses held for others.
+pub(super) fn weight(works: &[[f64; 3]], class: ClassId) -> f64 {
+    let [guess, answers, sum] = works[class.0];
+    let least = works.iter().map(|w| w[0]).fold(f64::MAX, f64::min) * 0.01;
+    let add = |[n, took, guessed]: [f64; 3], w: &[f64; 3]| [n + w[1], took + w[2], guessed + w[0] * w[1]];
+    let [n, took, guessed] = works.iter().fold([0.01, least, least], add);
+    (sum + GUESSED * guess * took / guessed) / (answers + GUESSED) * n / took
+}
+
 /// A number from 0 to 1 that the seed and a value decide.
 pub(super) fn unit(seed: u64, value: u64) -> f64 {
     let mix = |x: u64, by: u64| (x ^ (x >> 31)).wrapping_mul(by);
@@ -115,25 +128,28 @@
         1.0 - (1.0 - self.settings.cold_from) * (1.0 - age / span).max(0.0)
     }
 
-    /// The sends that a member may get now. While it may be cold they grow with what warm members of its
-    /// group answer to this router, times its capacity, so all routers together stay below what fells it:
-    /// warm members answer no more than they can do, so the fall multiple needs no further margin. They
-    /// start at a point of the router's own, so that not all send at once.
-    pub(super) fn budget(&self, m: &Member) -> f64 {
-        let capacity = self.capacity(m);
-        if capacity >= 1.0 {
-            return 1.0;
-        }
+    /// What a member that may be cold may be sent, in requests of mean work: each µs, and now. It grows with
+    /// what warm ones, of its group or all, answer to this router, times its capacity, so that all routers
+    /// together do not fell it, and starts at a point of the router's own, so that not all send at once.
+    pub(super) fn budget(&self, m: &Member) -> Option<(f64, f64)> {
+        let capacity = Some(self.capacity(m)).filter(|capacity| *capacity < 1.0)?;
         let mean = |members: &mut dyn Iterator<Item = &Member>| {
             let warm = members.filter(|m| m.usable() && self.capacity(m) >= 1.0);
-            let rates: Vec<f64> = warm.map(|m| m.rate(self.now)).collect();
-            rates.iter().sum::<f64>() / rates.len().max(1) as f64
+            let (sum, n) = warm.fold((0.0, 0.0), |(sum, n), m| (sum + m.rate(self.now), n + 1.0));
+            sum / f64::max(n, 1.0)
         };
         let kin = mean(&mut self.kin(m.group).map(|(_, m)| m));
         let least = LEAST_RATE / f64::from(self.settings.routers.max(1));
         let mean = kin.max(mean(&mut self.members.values())).max(least);
-        let rate = mean * capacity * self.settings.fall_multiple.max(1.0);
+        let rate = mean * capacity * self.settings.fall_multiple.max(1.0) * MARGIN;
         let most = 1.0 + rate * self.settings.fall_span as f64 * 0.1;
-        (m.budget + rate * (self.now - m.budget_at).max(0) as f64).min(most)
+        Some((rate, (m.budget + rate * (self.now - m.budget_at).max(0) as f64).min(most)))
+    }
+
+    /// Whether a member may be sent this: a cold one nothing that is much of what all may send in the span.
+    pub(super) fn able(&self, m: &Member, p: &Pending) -> bool {
+        let Some((rate, budget)) = self.budget(m) else { return true };
+        let fleet = rate * f64::from(self.settings.routers) * self.settings.fall_span as f64;
+        budget >= 1.0 && weight(&self.works, p.asked.class) <= LIGHT.max(fleet / HEAVY_LEAST)
     }
 }
--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -6,8 +6,7 @@
 const FORGET: f64 = 8e6;
 /// A safe attempt at a suspect is taken back after this many usual times.
 const PATIENCE: f64 = 2.0;
-/// Least and most pause between trials of a suspect: a trial for each so many answers of the group, since
-/// a router with little traffic must not spend most of it on trials.
+/// Least and most pause between trials of a suspect, and one for so many answers: they must stay few.
 const TRIAL_PAUSE: (f64, f64) = (1.5e6, 12e6);
 const TRIAL_EVERY: f64 = 5.0;
 /// A probe without an answer is sent again after this time.
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -1,5 +1,4 @@
-//! Every decision of the router. Here are its state and the events that change it, beside it a file for each
-//! concern with its tuned values. The interface (settings, events, actions, ids) is in `src/api`.
+//! Every decision of the router: here its state and events, beside it a file for each concern.
 //!
 //! Reads go to the closest replica whose cached position is new enough; on a miss one shared probe
 //! asks for that position, and a read still short goes to the primary, as do writes and fresh reads.
@@ -12,7 +11,7 @@
 mod reads;
 
 use super::api::*;
-use load::{unit, Shed, LIMIT};
+use load::{unit, weight, Shed, LIMIT};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Pauses between looks at what is silent: while anything is held, and otherwise.
@@ -75,6 +74,7 @@
     suspicion: Option<Suspicion>,
     probe_sent: Option<Micros>,
     reported_at: Micros,
+    /// What it answers to this router each µs, in requests of mean work.
     rate: f64,
     rated_at: Micros,
     budget: f64,
@@ -128,6 +128,8 @@
     factors: BTreeMap<HostId, f64>,
     once: bool, // A budget bars attempts beyond the first.
     usual: Vec<f64>,
+    /// Of each class: a first guess of what a request takes, answers, and the sum of their µs.
+    works: Vec<[f64; 3]>,
     /// Usual worth for a microsecond of work.
     density: f64,
     listed_once: bool,
@@ -141,8 +143,9 @@
 impl Router {
     /// A router that knows nothing yet but its settings.
     pub fn new(settings: Settings) -> Self {
-        let usual = settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1e3)).collect();
-        Router { usual, settings, ..Router::default() }
+        let usual: Vec<f64> = settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1e3)).collect();
+        let works = usual.iter().map(|guess| [*guess, 0.0, 0.0]).collect();
+        Router { usual, works, settings, ..Router::default() }
     }
 
     /// What the router does before its first event.
--- a/crates/routing/src/policy/outcomes.rs
+++ b/crates/routing/src/policy/outcomes.rs
@@ -7,8 +7,7 @@
 const CLASS_WEIGHT: f64 = 0.02;
 /// The most that a member's latency is taken to be, in usual times; a full one has it.
 const SLOWEST: f64 = 8.0;
-/// Parts of the aim that count for: a lost answer (not all are lost to load), a full member, a report
-/// with nothing queued, and each usual time of wait in a reported queue.
+/// Parts of the aim that count for: a lost answer, a full member, an idle report, each usual wait queued.
 const LOST: f64 = 0.7;
 const FULL: f64 = 1.5;
 const IDLE: f64 = 0.2;
@@ -72,7 +71,9 @@
             }
         }
         if ok {
-            (m.rate, m.rated_at) = (m.rate(now) + 1.0 / RATE_SPAN, now);
+            let [_, answers, sum] = &mut self.works[flight.class.0];
+            (*answers, *sum) = (*answers + 1.0, *sum + o.latency as f64);
+            (m.rate, m.rated_at) = (m.rate(now) + weight(&self.works, flight.class) / RATE_SPAN, now);
             let weight = if timed { CLASS_WEIGHT } else { 0.0 };
             *usual = (*usual + weight * (o.latency as f64 - *usual)).max(1e3);
         }
--- a/crates/routing/src/policy/primary.rs
+++ b/crates/routing/src/policy/primary.rs
@@ -29,12 +29,11 @@
         let (m, p) = (&self.members[&leader], self.pending.get(&id)?);
         let crowded = m.flights.len() as f64 + 1.0 > m.limit * SPILL_SHARE;
         let admitted = !spilled || (!crowded && self.admitted(id, p, true, SPILL_WEIGHT));
-        let able = m.room(self.now) && self.doubt(m) < WARY && self.budget(m) >= 1.0;
+        let able = m.room(self.now) && self.doubt(m) < WARY && self.able(m, p);
         (admitted && able).then_some(leader)
     }
 
-    /// Writes find the primary by trying members in turn, one at a time for the whole group; after
-    /// a round of misses probes go on looking.
+    /// Writes find the primary by trying members in turn, one for the group; after a round probes do.
     pub(super) fn write(&mut self, id: RequestId, group: GroupId) -> Option<HostId> {
         if self.leader(group).is_some_and(|h| self.members[&h].usable()) {
             self.groups.get_mut(&group)?.tried.clear();
@@ -47,7 +46,7 @@
             self.search(group);
             return None;
         }
-        let able = |(h, m): &(HostId, &Member)| m.usable() && !g.tried.contains(h) && self.budget(m) >= 1.0;
+        let able = |(h, m): &(HostId, &Member)| m.usable() && !g.tried.contains(h) && self.able(m, p);
         let rank = |m: &Member| (m.primary_at > m.replica_at, m.head, -m.replica_at, m.position, m.local);
         let next = self.kin(group).filter(able).max_by_key(|(_, m)| rank(m)).map(|(host, _)| host);
         let g = self.groups.get_mut(&group)?;
--- a/crates/routing/src/policy/reads.rs
+++ b/crates/routing/src/policy/reads.rs
@@ -10,11 +10,9 @@
 const KEEPER: f64 = 2.0;
 /// Weight of own-zone traffic where ties go to the member that answered this router least lately.
 const LOCAL_PULL: f64 = 0.5;
-/// Requests' worth of lead that the router's own order of members gives among ties: routers with little
-/// traffic keep to different members.
+/// Requests' worth of lead that the router's own order of members gives among ties: small ones differ.
 const OWN_ORDER: f64 = 2.0;
-/// A read waits this long for its probe; a suspect's report is asked for anew after the second for each
-/// router, since all of them ask.
+/// A read waits this long for its probe; a suspect's report is asked for after the second for each router.
 const PROBE_WAIT: Micros = 30_000;
 const REPORT_SHARED: Micros = 33_000;
 /// How much faster than time a replica that is behind may catch up.
@@ -56,7 +54,7 @@
         let checks = self.settings.when_behind == WhenBehind::Checks;
         // Trials: a suspect gets single safe reads at growing pauses; only an answer clears it.
         let trial = self.kin(group).find(|(h, m)| {
-            let due = m.suspicion.as_ref().is_some_and(|s| s.trial_at <= now);
+            let due = m.suspicion.as_ref().is_some_and(|s| s.trial_at <= now) && self.able(m, p);
             m.listed == Listed::Up && due && !p.shunned.contains(h)
         });
         let able = |(h, m): &(HostId, &Member)| checks || Some(*h) == leader || minimum <= Some(m.position);
@@ -72,7 +70,7 @@
         let p = self.pending.get(&id)?;
         let open = self.kin(group).filter(|(h, m)| {
             let free = Some(*h) != leader && !p.shunned.contains(h) && m.room(now);
-            free && self.admits(id, m.zone) && m.usable() && self.budget(m) >= 1.0
+            free && self.admits(id, m.zone) && m.usable() && self.able(m, p)
         });
         let ranked = open.map(|(host, m)| {
             let lead = OWN_ORDER / RATE_SPAN * unit(self.settings.seed, host.0.into());
--- /dev/null
+++ b/crates/routing/tests/fleet/mod.rs
@@ -0,0 +1,269 @@
+//! A fleet in virtual time: many routers, two groups of members with cores and queues, and members that have just
+//! started. Counts of events only; no clock of the machine is read.
+
+mod felled;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use wharfplank_routing::{
+    Action, AttemptNo, Class, ClassId, Consistency, Effect, Ending, Entry, Event, GroupId, HostId, Listed,
+    Micros, Outcome, Request, RequestId, Role, Router, Settings, WhenBehind,
+};
+
+pub const SECOND: Micros = 1_000_000;
+/// Members start then; the day ends then.
+pub const JOINS: Micros = 8 * SECOND;
+const ENDS: Micros = 26 * SECOND;
+const CORES: usize = 4;
+/// Requests that wait at a member beyond those in work.
+const WAITING: usize = 60;
+/// The way there and back.
+const WAY: Micros = 2_000;
+
+/// What a day is made of. Times are in µs, work in core seconds.
+#[derive(Clone)]
+pub struct Day {
+    pub seed: u64,
+    pub routers: usize,
+    /// Group 1 from the start, and its members that start when the day's trouble comes; the first is its primary.
+    pub warm: Vec<u32>,
+    pub cold: Vec<u32>,
+    /// Members of group 1 that leave so long after the cold ones have come.
+    pub leaves: Vec<u32>,
+    pub after: Micros,
+    /// Whether a second group works beside it.
+    pub second: bool,
+    /// Shares of traffic by router: the largest so many times the least.
+    pub uneven: f64,
+    /// Traffic times this for four seconds from so long after the start on.
+    pub burst: (f64, Micros),
+    /// Share and work of each class: reads, writes, long reads.
+    pub mix: [(f64, f64); 3],
+    /// The part of what its members can do that a group of three is asked.
+    pub load: f64,
+    pub cold_from: f64,
+    pub cold_span: Micros,
+    pub fall_span: Micros,
+}
+
+pub const MULTIPLE: f64 = 3.0;
+
+impl Day {
+    fn mean_work(&self) -> f64 {
+        self.mix.iter().map(|(share, work)| share * work).sum()
+    }
+
+    /// Requests of mean work that a warm member does in a second.
+    pub fn able(&self) -> f64 {
+        CORES as f64 / self.mean_work()
+    }
+
+    /// The part of its capacity that a member has so long after its start.
+    fn part(&self, age: Micros) -> f64 {
+        let grown = (age as f64 / self.cold_span as f64).clamp(0.0, 1.0);
+        self.cold_from + (1.0 - self.cold_from) * grown
+    }
+
+    fn settings(&self, router: usize) -> Settings {
+        let class =
+            |consistency, effect, aim| Class { consistency, effect, aim, worth: 1.0, late_worth: 0.2 };
+        Settings {
+            seed: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(router as u64 * 7919),
+            routers: self.routers as u32,
+            classes: vec![
+                class(Consistency::Any, Effect::Safe, 300_000),
+                class(Consistency::Write, Effect::Unsafe, 1_000_000),
+                class(Consistency::Any, Effect::Safe, 7_500_000),
+            ],
+            max_attempts: 8,
+            may_cancel: true,
+            may_probe: false,
+            must_follow: false,
+            max_retry_after: 1_000_000,
+            cold_from: self.cold_from,
+            cold_span: self.cold_span,
+            fall_multiple: MULTIPLE,
+            fall_span: self.fall_span,
+            when_behind: WhenBehind::Answers,
+            gone_is_advice: false,
+            tokens_carried: true,
+        }
+    }
+}
+
+fn entry(host: u32, group: u64, primary: bool, launched: Option<Micros>) -> Entry {
+    let (host, group) = (HostId(host), GroupId(group));
+    Entry { host, group, listed: Listed::Up, primary, launched, local: true, zone: 0 }
+}
+
+struct Member {
+    primary: bool,
+    launched: Option<Micros>,
+    /// When each core is free again, and when the work in its queue ends.
+    cores: [Micros; CORES],
+    ends: Vec<Micros>,
+}
+
+/// An attempt that comes to its end.
+struct Answer {
+    id: RequestId,
+    attempt: AttemptNo,
+    host: HostId,
+    sent: Micros,
+    ending: Ending,
+}
+
+enum Due {
+    Request(u64, ClassId, u64),
+    Answer(Answer),
+    Timer,
+    News(usize),
+}
+
+/// What came of a day.
+pub struct Outcomes {
+    /// Each send to a cold member: which, when, and its work in requests of mean work.
+    pub sends: Vec<(u32, Micros, f64)>,
+    /// Requests of group 1 from the trouble on, and those that were served.
+    pub asked: f64,
+    pub served: f64,
+}
+
+fn id_of(n: u64) -> RequestId {
+    let mut id = [b'.'; 36];
+    id[..16].copy_from_slice(format!("{n:016x}").as_bytes());
+    RequestId(id)
+}
+
+/// Arrivals of all routers together, a Poisson stream for each group: when, at which router, of which class.
+fn arrivals(day: &Day, rng: &mut SmallRng, group: u64) -> Vec<(Micros, usize, ClassId)> {
+    let drawn: Vec<f64> = (0..day.routers).map(|_| day.uneven.powf(rng.random::<f64>())).collect();
+    let total: f64 = drawn.iter().sum();
+    let rate = day.load * 3.0 * day.able();
+    let (mut at, mut all) = (0.0, Vec::new());
+    while at < ENDS as f64 {
+        let since = at as Micros - JOINS - day.burst.1;
+        let now = if group == 1 && (0..4 * SECOND).contains(&since) { rate * day.burst.0 } else { rate };
+        at += -(1.0 - rng.random::<f64>()).ln() / now * 1e6;
+        let (mut x, mut router) = (rng.random::<f64>() * total, 0);
+        while router + 1 < day.routers && x > drawn[router] {
+            x -= drawn[router];
+            router += 1;
+        }
+        let (mut x, mut class) = (rng.random::<f64>(), 0);
+        while class < 2 && x > day.mix[class].0 {
+            x -= day.mix[class].0;
+            class += 1;
+        }
+        all.push((at as Micros, router, ClassId(class)));
+    }
+    all
+}
+
+/// Plays a day.
+pub fn play(day: &Day) -> Outcomes {
+    let mut rng = SmallRng::seed_from_u64(day.seed);
+    let mut members: BTreeMap<u32, Member> = BTreeMap::new();
+    let mut lists = [Vec::new(), Vec::new(), Vec::new()];
+    let mut add = |host: u32, group: u64, primary: bool, launched: Option<Micros>| {
+        lists[usize::from(launched.is_some())].push(entry(host, group, primary, launched));
+        members.insert(host, Member { primary, launched, cores: [0; CORES], ends: Vec::new() });
+    };
+    day.warm.iter().enumerate().for_each(|(i, h)| add(*h, 1, i == 0, None));
+    let headless = day.warm.first().is_none_or(|h| day.leaves.contains(h));
+    day.cold.iter().enumerate().for_each(|(i, h)| add(*h, 1, i == 0 && headless, Some(JOINS)));
+    (90..93).filter(|_| day.second).for_each(|h| add(h, 2, h == 90, None));
+    for host in &day.leaves {
+        let listed = Listed::Draining;
+        lists[2].push(Entry { listed, ..entry(*host, 1, false, None) });
+    }
+    let mut routers: Vec<Router> = (0..day.routers).map(|r| Router::new(day.settings(r))).collect();
+    let mut due: BinaryHeap<Reverse<(Micros, u64, usize)>> = BinaryHeap::new();
+    let mut what: Vec<Due> = Vec::new();
+    let push = |due: &mut BinaryHeap<_>, what: &mut Vec<Due>, at: Micros, router: usize, item: Due| {
+        what.push(item);
+        due.push(Reverse((at, what.len() as u64 - 1, router)));
+    };
+    let mut actions = Vec::new();
+    for (number, router) in routers.iter_mut().enumerate() {
+        router.handle(0, Event::List(lists[0].clone()), &mut actions);
+        actions.clear();
+        // The news reach the routers within a third of a second.
+        let at = JOINS + rng.random_range(0..SECOND / 3);
+        push(&mut due, &mut what, at, number, Due::News(1));
+        push(&mut due, &mut what, at + day.after, number, Due::News(2));
+    }
+    let mut classes = HashMap::new();
+    let mut number = 0;
+    for group in 1..=1 + u64::from(day.second) {
+        for (at, router, class) in arrivals(day, &mut rng, group) {
+            number += 1;
+            classes.insert(id_of(number), (class, group == 1 && at >= JOINS));
+            push(&mut due, &mut what, at, router, Due::Request(number, class, group));
+        }
+    }
+    let counted = classes.values().filter(|(_, counts)| *counts).count() as f64;
+    let mut out = Outcomes { sends: Vec::new(), asked: counted, served: 0.0 };
+    let mut attempts: HashMap<RequestId, u32> = HashMap::new();
+    while let Some(Reverse((now, index, router))) = due.pop() {
+        let event = match std::mem::replace(&mut what[index as usize], Due::Timer) {
+            Due::Request(n, class, group) => Event::Request(Request {
+                id: id_of(n),
+                class,
+                group: GroupId(group),
+                key: None,
+                give_up_at: now + [SECOND, 2 * SECOND, 15 * SECOND][class.0],
+                write_age: None,
+                doubted: false,
+            }),
+            Due::Answer(Answer { id, attempt, host, sent, ending }) => {
+                let ok = ending == Ending::Ok;
+                out.served += f64::from(u8::from(ok && classes[&id].1));
+                let role = if members[&host.0].primary { Role::Primary } else { Role::Replica };
+                let (latency, position) = (now - sent, Some(now - 5_000));
+                let role = Some(role).filter(|_| ending != Ending::Full);
+                Event::Outcome(Outcome { id, attempt, host, ending, terminal: ok, latency, role, position })
+            }
+            Due::Timer => Event::Timer,
+            Due::News(which) => Event::ListChange(lists[which].clone()),
+        };
+        routers[router].handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id, host, .. } => {
+                    let next = attempts.entry(id).or_insert(0);
+                    let attempt = AttemptNo(*next);
+                    *next += 1;
+                    let class = classes[&id].0;
+                    let (ending, at) = serve(day, members.get_mut(&host.0).unwrap(), class, now);
+                    if members[&host.0].launched.is_some_and(|at| now - at < day.cold_span) {
+                        out.sends.push((host.0, now - JOINS, day.mix[class.0].1 / day.mean_work()));
+                    }
+                    let answer = Answer { id, attempt, host, sent: now, ending };
+                    push(&mut due, &mut what, at, router, Due::Answer(answer));
+                }
+                Action::Timer(span) => push(&mut due, &mut what, now + span, router, Due::Timer),
+                _ => {}
+            }
+        }
+    }
+    out
+}
+
+/// How an attempt ends at that member, and when its answer is back.
+fn serve(day: &Day, m: &mut Member, class: ClassId, now: Micros) -> (Ending, Micros) {
+    m.ends.retain(|at| *at > now);
+    if class.0 == 1 && !m.primary {
+        return (Ending::Miss, now + WAY);
+    }
+    if m.ends.len() >= CORES + WAITING {
+        return (Ending::Full, now + WAY);
+    }
+    let part = m.launched.map_or(1.0, |at| day.part(now - at));
+    let core = m.cores.iter_mut().min().unwrap();
+    *core = (*core).max(now) + (day.mix[class.0].1 / part * 1e6) as Micros;
+    m.ends.push(*core);
+    (Ending::Ok, *core + WAY)
+}
--- a/tests/inherited.rs
+++ b/tests/inherited.rs
@@ -50,7 +50,11 @@
 /// Guards against small limits at the start, which refuse for a second what the process before could serve.
 #[test]
 fn as_much_is_in_flight_as_before() {
-    let at_once = |b: &mut Bench| (0..40).map(|_| sends(&b.ask(ANY)).len()).sum::<usize>();
+    // What is in flight is counted, not what is sent now: the old one may have a send out that nothing answered.
+    let at_once = |b: &mut Bench| {
+        (0..40).for_each(|_| drop(b.ask(ANY)));
+        b.router.view().map(|v| v.in_flight).sum::<usize>()
+    };
     let mut old = Bench::with(settings(), group());
     for _ in 0..20 {
         let sent: Vec<Sent> = (0..8).flat_map(|_| sends(&old.ask(ANY))).collect();
