--- a/crates/routing/tests/cold_fleet.rs
+++ b/crates/routing/tests/cold_fleet.rs
@@ -28,8 +28,10 @@
     }
 }
 
+type Kind = (&'static str, fn(Day) -> Day);
+
 /// Each kind of day by its name.
-fn kinds() -> Vec<(&'static str, fn(Day) -> Day)> {
+fn kinds() -> Vec<Kind> {
     vec![
         ("joins", |d| d),
         ("keeper", |d| Day { cold: vec![5], ..d }),
--- a/crates/routing/tests/fleet/mod.rs
+++ b/crates/routing/tests/fleet/mod.rs
@@ -1,8 +1,11 @@
 //! A fleet in virtual time: many routers, two groups of members with cores and queues, and members that have just
 //! started. Counts of events only; no clock of the machine is read.
 
+mod day;
 mod felled;
 
+pub use day::{Day, MULTIPLE};
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -22,77 +25,6 @@
 /// The way there and back.
 const WAY: Micros = 2_000;
 
-/// What a day is made of. Times are in µs, work in core seconds.
-#[derive(Clone)]
-pub struct Day {
-    pub seed: u64,
-    pub routers: usize,
-    /// Group 1 from the start, and its members that start when the day's trouble comes; the first is its primary.
-    pub warm: Vec<u32>,
-    pub cold: Vec<u32>,
-    /// Members of group 1 that leave so long after the cold ones have come.
-    pub leaves: Vec<u32>,
-    pub after: Micros,
-    /// Whether a second group works beside it.
-    pub second: bool,
-    /// Shares of traffic by router: the largest so many times the least.
-    pub uneven: f64,
-    /// Traffic times this for four seconds from so long after the start on.
-    pub burst: (f64, Micros),
-    /// Share and work of each class: reads, writes, long reads.
-    pub mix: [(f64, f64); 3],
-    /// The part of what its members can do that a group of three is asked.
-    pub load: f64,
-    pub cold_from: f64,
-    pub cold_span: Micros,
-    pub fall_span: Micros,
-}
-
-pub const MULTIPLE: f64 = 3.0;
-
-impl Day {
-    fn mean_work(&self) -> f64 {
-        self.mix.iter().map(|(share, work)| share * work).sum()
-    }
-
-    /// Requests of mean work that a warm member does in a second.
-    pub fn able(&self) -> f64 {
-        CORES as f64 / self.mean_work()
-    }
-
-    /// The part of its capacity that a member has so long after its start.
-    fn part(&self, age: Micros) -> f64 {
-        let grown = (age as f64 / self.cold_span as f64).clamp(0.0, 1.0);
-        self.cold_from + (1.0 - self.cold_from) * grown
-    }
-
-    fn settings(&self, router: usize) -> Settings {
-        let class =
-            |consistency, effect, aim| Class { consistency, effect, aim, worth: 1.0, late_worth: 0.2 };
-        Settings {
-            seed: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(router as u64 * 7919),
-            routers: self.routers as u32,
-            classes: vec![
-                class(Consistency::Any, Effect::Safe, 300_000),
-                class(Consistency::Write, Effect::Unsafe, 1_000_000),
-                class(Consistency::Any, Effect::Safe, 7_500_000),
-            ],
-            max_attempts: 8,
-            may_cancel: true,
-            may_probe: false,
-            must_follow: false,
-            max_retry_after: 1_000_000,
-            cold_from: self.cold_from,
-            cold_span: self.cold_span,
-            fall_multiple: MULTIPLE,
-            fall_span: self.fall_span,
-            when_behind: WhenBehind::Answers,
-            gone_is_advice: false,
-            tokens_carried: true,
-        }
-    }
-}
-
 fn entry(host: u32, group: u64, primary: bool, launched: Option<Micros>) -> Entry {
     let (host, group) = (HostId(host), GroupId(group));
     Entry { host, group, listed: Listed::Up, primary, launched, local: true, zone: 0 }
