--- a/crates/program/src/broker/mod.rs
+++ b/crates/program/src/broker/mod.rs
@@ -7,11 +7,12 @@
 mod lookups;
 mod operators;
 mod passing;
+mod probes;
 mod replacement;
 mod requests;
 mod roster;
 
-use attempts::Flight;
+use attempts::{Allowed, Flight};
 use budgets::Barred;
 use replacement::Replacement;
 use requests::Open;
@@ -57,9 +58,6 @@
 
 /// The client counts its wait from its own send: answers are due this much earlier here.
 const ANSWER_MARGIN: Micros = 5_000;
-/// What is left of a send's margin when its last byte must be out.
-const WRITE_MARGIN: Micros = 500;
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pools are tended at this pace.
 const TEND: Micros = 1_000_000;
 /// Names past which those of members long gone are forgotten.
@@ -82,7 +80,7 @@
     clock: Clock,
     router: Router,
     terms: Terms,
-    max_attempts: u32,
+    allowed: Allowed,
     shared: Rc<Shared>,
     clients: Rc<Clients>,
     events: Sender<Event>,
@@ -136,7 +134,7 @@
             clock,
             router: Router::new(config.settings.clone()),
             terms: config.terms.clone(),
-            max_attempts: config.settings.max_attempts,
+            allowed: Allowed::by(&config.settings),
             shared,
             clients,
             events,
@@ -185,7 +183,7 @@
     pub async fn run(mut self, known: Catalog, received: Receiver<Event>, operators: Receiver<Asking>) {
         let mut actions = Vec::new();
         self.router.start(&mut actions);
-        self.perform(actions);
+        self.perform(self.clock.now(), actions);
         // The list as last known may be old, but nothing else is known yet: it counts as whole.
         self.list(Catalog { whole: true, ..known });
         self.recall();
@@ -225,6 +223,7 @@
         match event {
             Event::Asked(asked) => self.asked(*asked),
             Event::Gone(ticket) => self.gone(ticket),
+            Event::Cancelled(ticket) => self.cancelled(ticket),
             Event::Attempt { id, attempt, report } => self.attempt_ended(id, attempt, report),
             Event::Passed { id, attempt, report } => self.passed(id, attempt, report),
             Event::Probed { host, report } => self.probed(host, report),
--- a/crates/routing/src/policy/load.rs
+++ b/crates/routing/src/policy/load.rs
@@ -2,8 +2,7 @@
 
 use super::*;
 
-/// Own requests in flight that a member may hold: at first, at least, at most. Answers within `QUICK`
-/// of the aim raise it, later ones lower it by a share.
+/// Own requests in flight that a member may hold: answers within `QUICK` of the aim raise it, others lower.
 pub(super) const LIMIT: f64 = 4.0;
 const LIMIT_LEAST: f64 = 1.0;
 const LIMIT_MOST: f64 = 64.0;
@@ -14,8 +13,7 @@
 const SHED_STEP: f64 = 1.5;
 const SHED_TARGET: f64 = 0.45;
 const SHED_MOST: f64 = 3.0;
-/// Decay per µs. Many answers within `PACE_SPAN` do not move it faster, and where fewer come than this,
-/// each counts as one of so many: a single long one tells nothing of load.
+/// Decay per µs. Within `PACE_SPAN` many answers do not move it faster; of few each counts as one of so many.
 const SHED_DECAY: f64 = 0.07e-6;
 const PACE_LEAST: f64 = 4.0;
 /// Cores taken to work a queue off, the wait in usual times that lets none in, µs it is remembered.
--- a/crates/routing/src/policy/members.rs
+++ b/crates/routing/src/policy/members.rs
@@ -93,8 +93,7 @@
         self.wake_all();
     }
 
-    /// What other routers learned: a position is a lower bound and no sign of life; a member suspected there
-    /// is doubted as by one refused connection, unless it has answered here since.
+    /// What others learned: a position is a lower bound; one suspected there counts as refused once here.
     pub(super) fn told(&mut self, told: &[Told]) {
         for t in told {
             let Some(m) = self.members.get_mut(&t.host) else { continue };
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -21,9 +21,8 @@
 const STOOD_STILL: Micros = 100_000;
 /// How old the list's word on the primary is taken to be.
 const LIST_AGE: Micros = 20_000_000;
-/// Doubt is own work that a silent member has not answered, in usual times; a full member adds `WARY`, a
-/// connection that was not to be had `REFUSED`, one that broke `BROKEN`: single ones break at members that
-/// work, while a dead one refuses the next. From `WARY` on no writes, from `SUSPECT` on trials only.
+/// Doubt is own work that a silent member has not answered, in usual times; a full one adds `WARY`, a refused
+/// connection `REFUSED`, a broken one `BROKEN`. From `WARY` on no writes, from `SUSPECT` on trials only.
 const REFUSED: f64 = 2.0;
 const BROKEN: f64 = 0.5;
 const WARY: f64 = 3.0;
@@ -126,7 +125,8 @@
     shares: Option<BTreeMap<u32, f64>>,
     /// What the latency of members that the fleet does not hold sound is multiplied by.
     factors: BTreeMap<HostId, f64>,
-    once: bool, // A budget bars attempts beyond the first.
+    once: bool,    // A budget bars attempts beyond the first.
+    closing: bool, // Nothing is sent any more.
     usual: Vec<f64>,
     /// Of each class: a first guess of what a request takes, answers, and the sum of their µs.
     works: Vec<[f64; 3]>,
@@ -174,6 +174,7 @@
             Event::Shares(shares) => self.shares = Some(shares.into_iter().collect()),
             Event::Told(told) => self.told(&told),
             Event::Factors(factors) => self.factors = factors.into_iter().collect(),
+            Event::Closing => self.closing = true,
             Event::Close => {
                 let open: Vec<RequestId> = self.pending.keys().copied().collect();
                 open.into_iter().for_each(|id| self.give_up(id, Reason::Closing));
--- a/crates/routing/src/policy/reads.rs
+++ b/crates/routing/src/policy/reads.rs
@@ -4,8 +4,7 @@
 
 /// Replicas within this share of the closest one's latency tie.
 const BAND: f64 = 0.5;
-/// A class that takes this many times as long as the shortest is long, and its reads may go to a replica this
-/// many times as slow as those that tie.
+/// A class this many times as long as the shortest is long; its reads may go to a replica so much slower.
 const LONG: f64 = 4.0;
 const KEEPER: f64 = 2.0;
 /// Weight of own-zone traffic where ties go to the member that answered this router least lately.
@@ -87,8 +86,7 @@
             let ties = order.iter().filter(|c| c.close <= within && minimum <= Some(c.m.position));
             ties.min_by(|a, b| busy(a).cmp(&busy(b)).then(a.share.total_cmp(&b.share))).map(|c| c.host)
         };
-        // A replica may apply nothing while it holds a long read. One that needs no position goes to the same
-        // replica from all routers, as long as it has room: the others stay fresh for the reads that do.
+        // A replica may apply nothing while it holds a long read: those that need no position share one.
         let least = self.usual.iter().copied().fold(f64::MAX, f64::min);
         let long = minimum.is_none() && self.usual[p.asked.class.0] > LONG * least;
         let keeper = order.iter().filter(|c| long && c.close <= KEEPER * edge).map(|c| c.host).min();
@@ -96,8 +94,7 @@
         if close.is_some() {
             return close;
         }
-        // Not one that was seen so far behind that it cannot have caught up, and while that is young not
-        // one that would still be short with all the time since. Ties are the router's own, as for sends.
+        // Not one seen so far behind that it cannot have caught up. Ties are the router's own, as for sends.
         let tells = |c: &&Open| {
             let age = (now - c.m.seen_at).min(1 << 40);
             let gain = if age < 3 * REPORT_SHARED { age } else { CATCH_UP * age };
@@ -115,8 +112,7 @@
         if p.probed.is_some_and(|(host, at)| now - at < PROBE_WAIT && probing(&host)) {
             return None;
         }
-        // Members that check reads themselves may be taken at their last lag, and where the probe brought
-        // no report: probes can fail at members that serve.
+        // Members that check reads may be taken at their last lag, or where a probe brought no report.
         let likely = order.iter().find(|c| {
             let unheard = p.probed.is_some_and(|(h, at)| h == c.host && c.m.seen_at < at);
             let near = now - c.m.seen_at < LAG_TRUST && minimum.is_some_and(|min| now - c.m.lag >= min);
