A listener at its end takes its backlog within the limit of descriptors

Change: each gets its turn first.

Test: transport/tests/backlog.rs, `a_backlog_is_taken_within_the_limit`: of 100 callers and 8 places none had ended when the listener was done before, at most 16 are open at a time now.

--- a/crates/transport/src/clients.rs
+++ b/crates/transport/src/clients.rs
@@ -181,6 +181,9 @@
             let accepted = async { self.takes.get().then_some(listener.accept().await) };
             let Some(Some(Ok((stream, address)))) = future::poll_once(accepted).await else { return };
             self.admit(stream, address);
+            // Those for which there is no place are told so, and close, before the next is taken: all at once would
+            // hold more descriptors than there are.
+            future::yield_now().await;
         }
     }
 
--- a/crates/transport/tests/backlog.rs
+++ b/crates/transport/tests/backlog.rs
@@ -2,6 +2,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{block_on, Async};
+use std::cell::{Cell, RefCell};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use wharfplank_transport::clients::Clients;
@@ -29,3 +30,31 @@
     assert_eq!(taken_at_the_end(true), 3);
     assert_eq!(taken_at_the_end(false), 0);
 }
+
+/// Guards against a listener that takes a whole backlog at its end, and holds more descriptors than its limit allows.
+#[test]
+fn a_backlog_is_taken_within_the_limit() {
+    const MOST: usize = 8;
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let at = listener.get_ref().local_addr().unwrap();
+    let callers: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(at).unwrap()).collect();
+    let (events, _received) = async_channel::bounded(8);
+    let executor = Rc::new(LocalExecutor::new());
+    let held: Rc<RefCell<Option<Rc<Clients>>>> = Rc::default();
+    let (peak, ended) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let (seen, most, count) = (Rc::clone(&held), Rc::clone(&peak), Rc::clone(&ended));
+    let ends = Rc::new(move |_: &wharfplank_transport::Ended<'_>| {
+        let open = seen.borrow().as_ref().map_or(0, |clients| clients.open());
+        most.set(most.get().max(open));
+        count.set(count.get() + 1);
+    });
+    let clients = Clients::new(Rc::clone(&executor), events, ends, MOST, Memory::new(1 << 20));
+    *held.borrow_mut() = Some(Rc::clone(&clients));
+    clients.close();
+    block_on(executor.run(Rc::clone(&clients).listen(Rc::new(listener))));
+    // What is open at the end counts as well.
+    peak.set(peak.get().max(clients.open()));
+    assert!(ended.get() >= callers.len() - 2 * MOST, "{} of {} have ended", ended.get(), callers.len());
+    assert!(peak.get() <= 2 * MOST, "{} were open at a time", peak.get());
+    held.borrow_mut().take();
+}
