--- a/tests/common/ledger.rs
+++ b/tests/common/ledger.rs
@@ -70,7 +70,7 @@
             listed,
             primary,
             launched,
-            local: host % 3 == 0,
+            local: host.is_multiple_of(3),
             zone: 0,
         }
     }
