The log says when members are in slow start, what each was sent, and the time

Seen: the operators' logs do not tell when a line was written, which members a proxy took for warming up, what it might send them and what it sent. Without that no candidate cause could be told from another. Change: lines slow_start (began, ended at info, continued each second at debug) with age, least capacity, sends per second, attempts and their work; at_ms on ended and endpoint_list. The work of a request is estimated in policy/request_work.rs and only logged so far: what is sent is as before.

--- a/crates/proxy/src/broker/endpoints.rs
+++ b/crates/proxy/src/broker/endpoints.rs
@@ -53,6 +53,7 @@
         let event =
             if list.complete { routing::Event::EndpointList } else { routing::Event::EndpointsChanged };
         self.notify_router(event(entries));
+        self.log_slow_start();
         self.end_attempts_queued_for_retired_members();
         self.endpoints.drop_unused_members();
         self.forget_old_names();
--- a/crates/proxy/src/broker/maintenance.rs
+++ b/crates/proxy/src/broker/maintenance.rs
@@ -73,6 +73,7 @@
 
     fn run_maintenance(&mut self, now: Micros) {
         self.log_counts(now);
+        self.log_slow_start();
         self.pools.relax_liveness_check();
         self.gossip.report_suspects(now, suspected_members(&self.router));
         self.cancel_attempts_over_budget();
--- a/crates/proxy/src/broker/mod.rs
+++ b/crates/proxy/src/broker/mod.rs
@@ -20,6 +20,7 @@
 mod router_actions;
 mod shutdown;
 pub mod shutdown_timing;
+mod slow_start_log;
 mod streaming;
 
 use attempt_table::{AttemptKey, AttemptPolicy, AttemptTable};
@@ -29,6 +30,7 @@
 use lifecycle::Lifecycle;
 use maintenance::MaintenanceTimers;
 use request_table::RequestTable;
+use slow_start_log::SlowStartLog;
 use streaming::StreamingAttempts;
 
 use super::activity_counts::ActivityCounts;
@@ -91,6 +93,7 @@
     gossip: GossipClient,
     negative_cache: NegativeCacheClient,
     rollout: RolloutReporter,
+    slow_start_log: SlowStartLog,
 }
 
 impl Broker {
@@ -128,6 +131,7 @@
             gossip: GossipClient::new(&config.settings.classes),
             negative_cache: NegativeCacheClient::default(),
             rollout: RolloutReporter::default(),
+            slow_start_log: SlowStartLog::default(),
         }
     }
 
--- a/crates/proxy/src/log/format.rs
+++ b/crates/proxy/src/log/format.rs
@@ -1,8 +1,8 @@
 //! The form of a log line: the event's name and its fields, as text or as JSON.
 
+use super::unix_ms;
 use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::SystemTime;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Subscriber};
 use tracing_subscriber::fmt::format::{FormatEvent, FormatFields, Writer};
@@ -77,10 +77,8 @@
 }
 
 fn write_json(mut out: Writer<'_>, event: &Event<'_>, fields: Fields) -> fmt::Result {
-    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let time_ms = since_epoch.map_or(0, |time| time.as_millis() as u64);
     let mut line = serde_json::Map::new();
-    line.insert("time_ms".to_string(), time_ms.into());
+    line.insert("time_ms".to_string(), unix_ms().into());
     line.insert("level".to_string(), event.metadata().level().as_str().to_lowercase().into());
     for (name, value) in fields.0 {
         let key = if name == EVENT_FIELD { "event" } else { name };
--- a/crates/proxy/src/log/mod.rs
+++ b/crates/proxy/src/log/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 mod requests;
 mod rollout;
+mod slow_start;
 mod writer;
 
 pub use budgets::{budget_event, budgets_started};
@@ -21,4 +22,13 @@
 };
 pub use requests::{activity_counts, connection_ended, request_unserved, UnservedRequest};
 pub use rollout::{describe_action, rollout_event, rollout_started};
+pub use slow_start::{slow_start, SlowStartStage};
 pub use writer::{start, LogError};
+
+use std::time::SystemTime;
+
+/// The time of day, in milliseconds of Unix time: what lines of several machines are put in order by.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
--- a/crates/proxy/src/log/process.rs
+++ b/crates/proxy/src/log/process.rs
@@ -1,5 +1,6 @@
 //! Log lines of the process: its start, its configuration, operators' commands, hand-over and records.
 
+use super::unix_ms;
 use std::net::SocketAddr;
 use tracing::{debug, info, warn};
 use wharfplank_discovery::SuspectReason;
@@ -29,7 +30,7 @@
 pub fn endpoint_list_state(staleness: Option<&str>, suspect: Option<SuspectReason>, missing_members: usize) {
     let staleness = staleness.unwrap_or("-");
     let suspect = suspect.map_or("-", SuspectReason::as_str);
-    warn!(staleness, suspect, missing_members = missing_members as u64, "endpoint_list");
+    warn!(staleness, suspect, missing_members = missing_members as u64, at_ms = unix_ms(), "endpoint_list");
 }
 
 /// The result of an operator's command on a member.
--- a/crates/proxy/src/log/requests.rs
+++ b/crates/proxy/src/log/requests.rs
@@ -1,5 +1,6 @@
 //! Log lines of connections and requests.
 
+use super::unix_ms;
 use tracing::{debug, info};
 use wharfplank_transport::ConnectionEnd;
 
@@ -14,6 +15,7 @@
         reason = end.reason,
         requests = end.requests,
         age_ms,
+        at_ms = unix_ms(),
         "ended"
     );
 }
--- a/crates/routing/src/api.rs
+++ b/crates/routing/src/api.rs
@@ -7,7 +7,7 @@
 mod events;
 mod settings;
 
-pub use actions::{Action, MemberView, ProbePurpose, RejectReason};
+pub use actions::{Action, MemberView, ProbePurpose, RejectReason, SlowStartSends, SlowStartView};
 pub use events::{
     AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, LearnedTraits, PeerObservation,
     ProbeResult, Request, Role,
--- a/crates/routing/src/api/actions.rs
+++ b/crates/routing/src/api/actions.rs
@@ -58,6 +58,30 @@
     pub traits: LearnedTraits,
 }
 
+/// A member in slow start as the router sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartView {
+    /// The member.
+    pub host: HostId,
+    /// The time since the start of its process.
+    pub age: Micros,
+    /// The least part of its capacity that it may have by now, below 1.
+    pub capacity: f64,
+    /// The requests of mean work that this router may send it, per second.
+    pub sends_per_second: f64,
+    /// What this router has sent it since it was notified of the start.
+    pub sent: SlowStartSends,
+}
+
+/// What a router has sent a member during slow start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlowStartSends {
+    /// Attempts.
+    pub attempts: u64,
+    /// Their work, in requests of mean work.
+    pub work: f64,
+}
+
 /// What a position probe is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbePurpose {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -19,6 +19,7 @@
 //! - [`probes`]: load reports.
 //! - [`outliers`]: faults, suspicion and trials.
 //! - [`slow_start`]: how much a member that is warming up may be sent.
+//! - [`request_work`]: how much work a request is.
 //!
 //! Parts without knowledge of the others: [`answer_rate`], [`concurrency_limit`], [`load_shedder`],
 //! [`sessions`] and [`random`].
@@ -38,6 +39,7 @@
 mod read_candidates;
 mod read_routing;
 mod request_queue;
+mod request_work;
 mod requests;
 mod sessions;
 mod slow_start;
@@ -45,7 +47,8 @@
 use super::api::{
     Action, AttemptNo, AttemptOutcome, AttemptResult, Class, ClassId, Consistency, Endpoint, EndpointStatus,
     Event, GroupId, HostId, Idempotency, LearnedTraits, MemberView, Micros, PeerObservation, ProbePurpose,
-    ProbeResult, RejectReason, Request, RequestId, Role, SessionKey, Settings, StaleReadPolicy,
+    ProbeResult, RejectReason, Request, RequestId, Role, SessionKey, Settings, SlowStartSends, SlowStartView,
+    StaleReadPolicy,
 };
 use admission::ValueDensity;
 use answer_rate::AnswerRate;
@@ -53,6 +56,7 @@
 use concurrency_limit::ConcurrencyLimit;
 use group::Group;
 use member::{AttemptInFlight, Member};
+use request_work::MeanRequest;
 use requests::PendingRequest;
 use sessions::SessionCommits;
 use std::collections::BTreeMap;
@@ -89,6 +93,7 @@
     sending_stopped: bool,
     /// The usual latency of each class, in µs.
     usual_latency: Vec<f64>,
+    mean_request: MeanRequest,
     value_density: ValueDensity,
     /// Whether the endpoint list has arrived at least once.
     has_endpoint_list: bool,
@@ -105,8 +110,11 @@
     pub fn new(settings: Settings) -> Self {
         let usual =
             |class: &Class| (class.latency_objective as f64 * INITIAL_LATENCY_PART).max(LEAST_USUAL_LATENCY);
-        let usual_latency = settings.classes.iter().map(usual).collect();
-        Router { usual_latency, settings, ..Router::default() }
+        let usual_latency: Vec<f64> = settings.classes.iter().map(usual).collect();
+        let shortest_usual = usual_latency.iter().copied().fold(f64::MAX, f64::min);
+        let objectives = settings.classes.iter().map(|class| class.latency_objective.max(1) as f64);
+        let mean_request = MeanRequest::starting_from(shortest_usual, objectives.fold(f64::MAX, f64::min));
+        Router { usual_latency, mean_request, settings, ..Router::default() }
     }
 
     /// Appends what is to be done before the first event.
--- a/crates/routing/src/policy/requests.rs
+++ b/crates/routing/src/policy/requests.rs
@@ -78,6 +78,7 @@
         let objective_ends =
             if class.late_weight > 0.0 { Micros::MAX } else { now.saturating_add(class.latency_objective) };
         self.value_density.observe(class.priority_weight / self.usual_latency[request.class.0]);
+        self.observe_arrival(request.class);
         let pending = PendingRequest {
             arrived_at: now,
             useful_until: request.deadline.min(objective_ends),
@@ -150,6 +151,7 @@
     fn send(&mut self, id: RequestId, host: HostId) {
         let now = self.now;
         let send_budget = self.send_budget(&self.members[&host]);
+        let work = self.pending.get(&id).map_or(1.0, |pending| self.request_work(pending.request.class));
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let Some(member) = self.members.get_mut(&host) else { return };
         member.in_flight.push(AttemptInFlight {
@@ -160,7 +162,7 @@
             sent_at: now,
             cancelled: false,
         });
-        member.slow_start.spend(send_budget, now);
+        member.slow_start.spend(send_budget, work, now);
         pending.attempts += 1;
         pending.in_flight_at = Some(host);
         pending.position_probe = None;
--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -3,7 +3,7 @@
 
 use super::member::Member;
 use super::random::unit_interval;
-use super::{Micros, Router};
+use super::{Micros, Router, SlowStartSends, SlowStartView};
 
 /// The least rate of answers to all routers together, per µs, that is assumed of a warm member.
 const LEAST_FLEET_RATE: f64 = 4e-6;
@@ -17,6 +17,7 @@
     started_at: Option<Micros>,
     tokens: f64,
     updated_at: Micros,
+    sent: SlowStartSends,
 }
 
 impl SlowStart {
@@ -26,12 +27,15 @@
         self.started_at = Some(started_at);
         self.tokens = unit_interval(seed, u64::from(host));
         self.updated_at = now;
+        self.sent = SlowStartSends::default();
     }
 
-    /// Uses one of `tokens`, which [`Router::send_budget`] gave at `now`.
-    pub(super) fn spend(&mut self, tokens: f64, now: Micros) {
+    /// Uses one of `tokens`, which [`Router::send_budget`] gave at `now`, for a request of this work.
+    pub(super) fn spend(&mut self, tokens: f64, work: f64, now: Micros) {
         self.tokens = tokens - 1.0;
         self.updated_at = now;
+        self.sent.attempts += 1;
+        self.sent.work += work;
     }
 }
 
@@ -50,12 +54,32 @@
         if capacity >= 1.0 {
             return 1.0;
         }
-        let rate = self.warm_answer_rate(member) * capacity * self.settings.overload_multiple.max(1.0);
+        let rate = self.send_rate(member, capacity);
         let most = 1.0 + rate * self.settings.overload_span as f64 * BURST_PART;
         let elapsed = (self.now - member.slow_start.updated_at).max(0) as f64;
         (member.slow_start.tokens + rate * elapsed).min(most)
     }
 
+    /// The sends per µs that a member with this part of its capacity may get.
+    fn send_rate(&self, member: &Member, capacity: f64) -> f64 {
+        self.warm_answer_rate(member) * capacity * self.settings.overload_multiple.max(1.0)
+    }
+
+    /// The members in slow start.
+    pub fn slow_start_views(&self) -> impl Iterator<Item = SlowStartView> + '_ {
+        self.members.iter().filter_map(|(host, member)| {
+            let started_at = member.slow_start.started_at?;
+            let capacity = Some(self.least_capacity(member)).filter(|capacity| *capacity < 1.0)?;
+            Some(SlowStartView {
+                host: *host,
+                age: self.now - started_at,
+                capacity,
+                sends_per_second: self.send_rate(member, capacity) * 1e6,
+                sent: member.slow_start.sent,
+            })
+        })
+    }
+
     /// The least part of its capacity that a member may have, by the time since its start.
     fn least_capacity(&self, member: &Member) -> f64 {
         let span = self.settings.slow_start_span.max(1) as f64;
