Failing test: 36 processes overload a member that restarts, by the work of long reads

Reproduction on real processes over loopback: a zone of two groups of stand-in members is lost for 4 s and comes back cold under 36 proxies. Why no test saw it before: the laboratory counted arrivals, not their work, did not count rejected ones, told its proxies no slow start and 3 as their number, and its load had 7 % of its work in long reads. It now counts work against N + 2 x root of N + 2 (under 30: N + 3 x root of N + 3), tells the slow start and the number of proxies, and a timeline may set its reports.

--- a/crates/fleet-harness/src/budgets/mod.rs
+++ b/crates/fleet-harness/src/budgets/mod.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use wharfplank_lab::clock::now;
 use wharfplank_lab::load::LoadProfile;
-use wharfplank_lab::member_model::Micros;
+use wharfplank_lab::member_model::{ClassMix, Micros};
 
 /// Per cent of each limit that is divided into static quotas.
 const STATIC_PERCENT: u64 = 10;
@@ -115,6 +115,7 @@
             executor.spawn(async move {
                 let first_half = LoadProfile {
                     requests_per_second: case::demand(proxy),
+                    mix: ClassMix::usual(),
                     seconds: half,
                     groups: GROUPS,
                     seed: seed + number,
@@ -122,6 +123,7 @@
                 load.run(first_half, |_| {}).await;
                 let second_half = LoadProfile {
                     requests_per_second: case.demand_later(proxy),
+                    mix: ClassMix::usual(),
                     seed: seed + SECOND_HALF_SEED_FACTOR * number,
                     ..first_half
                 };
--- a/crates/fleet-harness/src/budgets/rig.rs
+++ b/crates/fleet-harness/src/budgets/rig.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use wharfplank_lab::clock::now;
 use wharfplank_lab::load::Load;
-use wharfplank_lab::member_model::MemberModel;
+use wharfplank_lab::member_model::{MemberModel, USUAL_REPORTS_PER_MILLE};
 use wharfplank_lab::stand_ins::StandIns;
 use wharfplank_lab::timeline::Timeline;
 
@@ -85,8 +85,16 @@
     seed: u64,
     executor: &Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<Rc<StandIns>> {
-    let timeline =
-        Timeline { seconds: 600, rate: 100, proxies, groups: 3, members: 4, seed, troubles: Vec::new() };
+    let timeline = Timeline {
+        seconds: 600,
+        rate: 100,
+        proxies,
+        groups: 3,
+        members: 4,
+        reports: USUAL_REPORTS_PER_MILLE,
+        seed,
+        troubles: Vec::new(),
+    };
     StandIns::start(executor, MemberModel::new(&timeline, now()))
 }
 
--- a/crates/fleet-harness/src/rollouts/rig.rs
+++ b/crates/fleet-harness/src/rollouts/rig.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use wharfplank_lab::clock::now;
 use wharfplank_lab::load::Load;
-use wharfplank_lab::member_model::MemberModel;
+use wharfplank_lab::member_model::{MemberModel, USUAL_REPORTS_PER_MILLE};
 use wharfplank_lab::stand_ins::StandIns;
 use wharfplank_lab::timeline::Timeline;
 
@@ -119,6 +119,7 @@
         proxies: scenario.proxies,
         groups: scenario.groups,
         members: scenario.members_per_group,
+        reports: USUAL_REPORTS_PER_MILLE,
         seed: scenario.seed,
         troubles: Vec::new(),
     };
--- a/crates/fleet-harness/src/rollouts/run.rs
+++ b/crates/fleet-harness/src/rollouts/run.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use wharfplank_lab::clock::now;
 use wharfplank_lab::load::LoadProfile;
-use wharfplank_lab::member_model::Micros;
+use wharfplank_lab::member_model::{ClassMix, Micros};
 
 const START_TIMEOUT: Micros = 30_000_000;
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -123,7 +123,8 @@
     let Scenario { request_rate, groups, seed, load_seconds, .. } = rig.scenario;
     let seconds = if load_seconds > 0 { load_seconds } else { MAX_LOAD_SECONDS };
     let seconds = seconds + SETTLE.as_secs();
-    let profile = LoadProfile { requests_per_second: request_rate, seconds, groups, seed };
+    let profile =
+        LoadProfile { requests_per_second: request_rate, seconds, groups, mix: ClassMix::usual(), seed };
     executor.spawn(async move {
         load.run(profile, |_| {}).await;
     })
--- a/crates/fleet-harness/src/run.rs
+++ b/crates/fleet-harness/src/run.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use wharfplank_lab::clock::now;
 use wharfplank_lab::load::{Load, LoadProfile, WriteRetries};
-use wharfplank_lab::member_model::{MemberModel, Micros};
+use wharfplank_lab::member_model::{ClassMix, MemberModel, Micros};
 use wharfplank_lab::stand_ins::StandIns;
 
 /// How long proxies may take to start, and the time before the load in which they find each other.
@@ -190,6 +190,7 @@
         schedule.faults.iter().map(|f| executor.spawn(Rc::clone(&rig).carry(f.clone(), begin))).collect();
     let profile = LoadProfile {
         requests_per_second: schedule.rate,
+        mix: ClassMix::usual(),
         seconds: schedule.seconds,
         groups: schedule.groups,
         seed: schedule.seed,
--- a/crates/fleet-harness/src/run/script.rs
+++ b/crates/fleet-harness/src/run/script.rs
@@ -1,6 +1,7 @@
 //! What the stand-ins play of a schedule.
 
 use crate::schedule::{Fault, Schedule};
+use wharfplank_lab::member_model::USUAL_REPORTS_PER_MILLE;
 use wharfplank_lab::timeline::{Kind, Timeline, Trouble};
 
 /// The stand-ins' script: the faults of zones and members.
@@ -28,6 +29,7 @@
         proxies: schedule.proxies,
         groups: schedule.groups,
         members: 4,
+        reports: USUAL_REPORTS_PER_MILLE,
         seed: schedule.seed,
         troubles: troubles.collect(),
     }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -14,7 +14,7 @@
 pub use record::{ClientOutcome, RequestRecord};
 
 use crate::clock::{now, time_until};
-use crate::member_model::{Micros, CLASSES};
+use crate::member_model::{ClassMix, Micros, CLASSES};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use connection::{statement, Connection};
@@ -52,6 +52,8 @@
     pub seconds: u64,
     /// The number of groups that requests address, from 0 on.
     pub groups: usize,
+    /// The fraction of the requests that each class has.
+    pub mix: ClassMix,
     /// The seed of the random numbers.
     pub seed: u64,
 }
@@ -112,7 +114,7 @@
             due_at +=
                 (-(1.0 - rng.random::<f64>()).ln() * 1e6 / profile.requests_per_second as f64) as Micros;
             Timer::after(time_until(due_at)).await;
-            let request = self.draw_request(&mut rng, number, due_at, profile.groups);
+            let request = self.draw_request(&mut rng, number, due_at, &profile);
             self.start_request(request);
             if number % PROGRESS_INTERVAL == 0 {
                 on_progress(number as f64 / total as f64);
@@ -124,10 +126,16 @@
         on_progress(1.0);
     }
 
-    fn draw_request(&self, rng: &mut SmallRng, number: u64, due_at: Micros, groups: usize) -> DueRequest {
-        let class = draw_class(rng);
+    fn draw_request(
+        &self,
+        rng: &mut SmallRng,
+        number: u64,
+        due_at: Micros,
+        profile: &LoadProfile,
+    ) -> DueRequest {
+        let class = profile.mix.draw(rng.random::<f64>());
         let proxy = rng.random_range(0..self.proxy_addresses.len());
-        let group = rng.random_range(0..groups);
+        let group = rng.random_range(0..profile.groups);
         let follows_write =
             CLASSES[class].name == "session-read" && rng.random::<f64>() < READ_YOUR_WRITES_FRACTION;
         let min_position_ms = follows_write.then(|| due_at / 1000 - SESSION_WRITE_AGE_MS);
@@ -184,13 +192,3 @@
         self.finished.borrow().iter().filter(|record| record.is(class, outcome)).count()
     }
 }
-
-/// Draws the class of a request by the classes' fractions of the load.
-fn draw_class(rng: &mut SmallRng) -> usize {
-    let mut draw = rng.random::<f64>();
-    let drawn = CLASSES.iter().position(|class| {
-        draw -= class.fraction;
-        draw < 0.0
-    });
-    drawn.unwrap_or(0)
-}
--- a/crates/lab/src/member_model.rs
+++ b/crates/lab/src/member_model.rs
@@ -16,7 +16,7 @@
 pub use admission::{Admission, IncomingRequest};
 pub use advance::ListChange;
 pub use member::{Member, MemberBehavior, CORES};
-pub use request_class::{RequestClass, CLASSES};
+pub use request_class::{ClassMix, RequestClass, CLASSES, USUAL_REPORTS_PER_MILLE};
 
 use crate::timeline::Timeline;
 use rand::rngs::SmallRng;
@@ -30,7 +30,8 @@
 pub const WARM_UP_FLOOR: f64 = 0.24;
 /// The time that a member takes to warm up.
 pub const WARM_UP_TIME: Micros = 15_000_000;
-/// A member that receives more than this multiple of what it can serve over [`COLLAPSE_WINDOW`] collapses.
+/// A member that receives more than this multiple of what it can serve over [`COLLAPSE_WINDOW`], and more than chance
+/// explains, collapses.
 pub const COLLAPSE_MULTIPLE: f64 = 3.0;
 /// The time over which arrivals count for [`COLLAPSE_MULTIPLE`].
 pub const COLLAPSE_WINDOW: Micros = 1_500_000;
@@ -49,6 +50,7 @@
     script_start: Micros,
     now: Micros,
     timeline: Timeline,
+    mix: ClassMix,
     rng: SmallRng,
 }
 
@@ -69,6 +71,7 @@
             script_start: start,
             now: start,
             timeline: timeline.clone(),
+            mix: ClassMix::with_reports(timeline.reports),
             rng: SmallRng::seed_from_u64(timeline.seed),
         }
     }
--- a/crates/lab/src/member_model/admission.rs
+++ b/crates/lab/src/member_model/admission.rs
@@ -12,8 +12,8 @@
 const MAX_READ_AGE: Micros = 200_000;
 /// The tolerance for every time limit, since the run uses real sockets.
 const TIME_TOLERANCE: Micros = 50_000;
-/// A member does not collapse under so few arrivals in a window, whatever its capacity.
-const MIN_ARRIVALS_TO_COLLAPSE: usize = 10;
+/// Up to so many requests of mean work in a window, the slack for chance is that of small budgets.
+const SMALL_BUDGET: f64 = 30.0;
 const MICROS_PER_MS: Micros = 1000;
 
 /// A request as it arrives at a member.
@@ -41,7 +41,11 @@
 impl MemberModel {
     /// The fraction of its full capacity that a member has now: it grows while the member warms up.
     pub fn capacity(&self, member: usize) -> f64 {
-        let uptime = (self.now - self.members[member].started_at).max(0) as f64;
+        self.capacity_at(member, self.now)
+    }
+
+    fn capacity_at(&self, member: usize, time: Micros) -> f64 {
+        let uptime = (time - self.members[member].started_at).max(0) as f64;
         (WARM_UP_FLOOR + (1.0 - WARM_UP_FLOOR) * uptime / WARM_UP_TIME as f64).min(1.0)
     }
 
@@ -51,6 +55,7 @@
         // Drawn before any check, so that a rejected request takes a draw as well: seeds stay comparable.
         let work_draw = -(1.0 - self.rng.random::<f64>()).ln();
         let class = &CLASSES[request.class];
+        self.record_arrival(member, class);
         if class.is_write() && !self.members[member].is_primary {
             return Admission::NotPrimary;
         }
@@ -59,7 +64,6 @@
         }
         let capacity = self.capacity(member);
         let now = self.now;
-        self.members[member].record_arrival(now, capacity);
         if self.members[member].is_stale_for(class, request.min_position_ms, now) {
             self.stale_reads += 1;
         }
@@ -97,22 +101,42 @@
     }
 }
 
-impl Member {
-    /// Records an arrival: the member collapses if all proxies together send more than it can take while warming up.
-    fn record_arrival(&mut self, now: Micros, capacity: f64) {
-        self.recent_arrivals.push_back(now);
-        while self.recent_arrivals.front().is_some_and(|at| now - at > COLLAPSE_WINDOW) {
-            self.recent_arrivals.pop_front();
+impl MemberModel {
+    /// Records an arrival, also one that is rejected: a member that warms up collapses if all proxies together send it
+    /// more work than it can take.
+    fn record_arrival(&mut self, member: usize, class: &RequestClass) {
+        let now = self.now;
+        let work = class.mean_work / self.mix.mean_work();
+        let is_warm = self.capacity(member) >= 1.0;
+        let budget = self.collapse_budget(member);
+        let member = &mut self.members[member];
+        member.recent_arrivals.push_back((now, work));
+        while member.recent_arrivals.front().is_some_and(|(at, _)| now - at > COLLAPSE_WINDOW) {
+            member.recent_arrivals.pop_front();
         }
-        let mean_work = CLASSES.iter().map(|class| class.fraction * class.mean_work).sum::<f64>();
-        let sustainable = CORES as f64 / mean_work * COLLAPSE_WINDOW as f64 * capacity;
-        let overload = self.recent_arrivals.len() as f64 / (COLLAPSE_MULTIPLE * sustainable);
-        self.peak_overload = self.peak_overload.max(overload);
-        if overload > 1.0 && self.recent_arrivals.len() > MIN_ARRIVALS_TO_COLLAPSE {
-            self.has_collapsed = true;
+        if is_warm {
+            return;
         }
+        let overload = member.recent_arrivals.iter().map(|(_, work)| work).sum::<f64>() / budget;
+        member.peak_overload = member.peak_overload.max(overload);
+        member.has_collapsed |= overload > 1.0;
     }
 
+    /// The requests of mean work within [`COLLAPSE_WINDOW`] that a member survives: [`COLLAPSE_MULTIPLE`] times what it
+    /// can serve from the window's start on, and a slack for chance.
+    fn collapse_budget(&self, member: usize) -> f64 {
+        let capacity = self.capacity_at(member, self.now - COLLAPSE_WINDOW);
+        let sustainable = CORES as f64 / self.mix.mean_work() * COLLAPSE_WINDOW as f64 * capacity;
+        let budget = COLLAPSE_MULTIPLE * sustainable;
+        if budget < SMALL_BUDGET {
+            budget + 3.0 * budget.sqrt() + 3.0
+        } else {
+            budget + 2.0 * budget.sqrt() + 2.0
+        }
+    }
+}
+
+impl Member {
     /// Whether a read here would return data older than its class or its minimum position allows.
     fn is_stale_for(&self, class: &RequestClass, min_position_ms: Option<i64>, now: Micros) -> bool {
         if self.is_primary {
--- a/crates/lab/src/member_model/member.rs
+++ b/crates/lab/src/member_model/member.rs
@@ -39,11 +39,11 @@
     pub writes: u64,
     /// When it last started; 0 if it has been up since before the run.
     pub started_at: Micros,
-    /// The arrivals within the last [`COLLAPSE_WINDOW`](super::COLLAPSE_WINDOW).
-    pub(super) recent_arrivals: VecDeque<Micros>,
+    /// The arrivals within the last [`COLLAPSE_WINDOW`](super::COLLAPSE_WINDOW), with their work in requests of mean work.
+    pub(super) recent_arrivals: VecDeque<(Micros, f64)>,
     /// Whether it collapsed under more requests than it could serve while warming up.
     pub has_collapsed: bool,
-    /// The highest number of arrivals in a window, as a fraction of the number that makes it collapse.
+    /// The most work that arrived in a window while it warmed up, as a fraction of what makes it collapse.
     pub peak_overload: f64,
 }
 
--- a/crates/lab/src/member_model/request_class.rs
+++ b/crates/lab/src/member_model/request_class.rs
@@ -7,7 +7,7 @@
 pub struct RequestClass {
     /// The name, as in the routing configuration.
     pub name: &'static str,
-    /// The fraction of all requests that are of this class.
+    /// The fraction of all requests that are of this class, in the usual mix.
     pub fraction: f64,
     /// The mean work of a request on one core of a warm member, in µs.
     pub mean_work: f64,
@@ -72,3 +72,44 @@
         late_fraction: 0.3,
     },
 ];
+
+/// The reports among a thousand requests of the usual mix.
+pub const USUAL_REPORTS_PER_MILLE: u64 = 5;
+
+/// The fraction of all requests that each class has.
+#[derive(Clone, Copy, Debug)]
+pub struct ClassMix([f64; CLASSES.len()]);
+
+impl ClassMix {
+    /// The usual mix.
+    pub fn usual() -> ClassMix {
+        ClassMix::with_reports(USUAL_REPORTS_PER_MILLE)
+    }
+
+    /// The mix with so many reports among a thousand requests; the other classes share the rest as usual.
+    pub fn with_reports(per_mille: u64) -> ClassMix {
+        let reports = per_mille as f64 / 1000.0;
+        let others: f64 = CLASSES.iter().filter(|c| !c.is_long_read()).map(|c| c.fraction).sum();
+        ClassMix(CLASSES.each_ref().map(|class| {
+            if class.is_long_read() {
+                reports
+            } else {
+                class.fraction / others * (1.0 - reports)
+            }
+        }))
+    }
+
+    /// The mean work of a request, in µs.
+    pub fn mean_work(&self) -> f64 {
+        self.0.iter().zip(&CLASSES).map(|(fraction, class)| fraction * class.mean_work).sum()
+    }
+
+    /// The class that a random number from 0 to 1 draws.
+    pub fn draw(&self, mut number: f64) -> usize {
+        let drawn = self.0.iter().position(|fraction| {
+            number -= fraction;
+            number < 0.0
+        });
+        drawn.unwrap_or(0)
+    }
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::now;
 use crate::load::{Load, LoadProfile, RequestRecord};
-use crate::member_model::{MemberModel, Micros};
+use crate::member_model::{ClassMix, MemberModel, Micros};
 use crate::stand_ins::StandIns;
 use crate::timeline::{Kind, Timeline};
 use async_executor::LocalExecutor;
@@ -52,6 +52,8 @@
     pub kills: Vec<(usize, Micros, Micros)>,
     /// Writes that members ran.
     pub writes: u64,
+    /// The most work that each member was sent while it warmed up, as a fraction of what makes it collapse.
+    pub slow_start_peaks: Vec<(String, f64)>,
     /// What each proxy had used at the end.
     pub used: Vec<Used>,
 }
@@ -120,6 +122,7 @@
         requests_per_second: timeline.rate,
         seconds: timeline.seconds,
         groups: timeline.groups,
+        mix: ClassMix::with_reports(timeline.reports),
         seed: timeline.seed,
     };
     load.run(profile, each).await;
@@ -128,12 +131,18 @@
     }
     let mut used = Vec::new();
     let all: Vec<Proxy> = proxies.borrow_mut().iter_mut().filter_map(Option::take).collect();
-    for proxy in all {
+    for proxy in &all {
         used.extend(proxy.used());
-        proxy.end().await?;
+        proxy.ask_to_end()?;
+    }
+    for proxy in all {
+        proxy.ended().await?;
     }
     let kills = kills.borrow().clone();
-    Ok(Ran { start: begin, load, kills, writes: stand_ins.writes(), used })
+    let members = stand_ins.model();
+    let peaks = members.members.iter().map(|member| (member.name.clone(), member.peak_overload));
+    let slow_start_peaks = peaks.collect();
+    Ok(Ran { start: begin, load, kills, writes: stand_ins.writes(), slow_start_peaks, used })
 }
 
 /// The requests of a proxy whose end was seen within a span.
--- a/crates/lab/src/run/configure.rs
+++ b/crates/lab/src/run/configure.rs
@@ -1,7 +1,7 @@
 //! What proxies are started with.
 
 use super::Place;
-use crate::member_model::CLASSES;
+use crate::member_model::{CLASSES, COLLAPSE_MULTIPLE, COLLAPSE_WINDOW, WARM_UP_FLOOR, WARM_UP_TIME};
 use serde_json::json;
 use std::net::{SocketAddr, UdpSocket};
 
@@ -27,11 +27,12 @@
         "seed": format!("{:016x}", 0x51ed + number), "known": known,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "settings": {
-            "Az": zone, "Balancers": 3,
+            "Az": zone, "Balancers": addresses.len(),
             "Allowed": {"ConnectTimeoutUs": 250_000, "KeepaliveUs": 15_000_000, "MaxAttempts": 8,
                         "MaxRetryAfterUs": 2_000_000, "MayCancel": true, "MayProbe": true, "RetryAfter": true},
             "Classes": classes, "Report": {"Columns": ["x0", "x1", "inflight", "util"]},
-            "Rules": {"StopSendingWithinUs": 1_000_000},
+            "Rules": {"StopSendingWithinUs": 1_000_000, "ColdFrom": WARM_UP_FLOOR, "ColdUs": WARM_UP_TIME,
+                      "FallMultiple": COLLAPSE_MULTIPLE, "OverloadForUs": COLLAPSE_WINDOW},
             "Specifics": {"Consistency": ["lag_bound", "causal", "eventual", "mutate"], "MaxAgeUs": [200_000, 0, 0, 0],
                           "SessionMarks": "brought", "WhenBehind": "none"}}});
     std::fs::write(of("json"), config.to_string())?;
--- a/crates/lab/src/run/process.rs
+++ b/crates/lab/src/run/process.rs
@@ -92,10 +92,15 @@
         Some(Used { cpu, serving, memory: kib / 1024.0 })
     }
 
-    pub(super) async fn end(mut self) -> Result<(), String> {
+    /// Asks it to end (SIGTERM).
+    pub(super) fn ask_to_end(&self) -> Result<(), String> {
         let id = self.child.id().to_string();
         let asked = Command::new("kill").args(["-TERM", &id]).status();
-        asked.map_err(|e| format!("kill: {e}"))?;
+        asked.map(drop).map_err(|e| format!("kill: {e}"))
+    }
+
+    /// Waits for its end, after [`Proxy::ask_to_end`].
+    pub(super) async fn ended(mut self) -> Result<(), String> {
         let end = now() + END_MOST.as_micros() as Micros;
         while now() < end {
             if let Ok(Some(status)) = self.child.try_wait() {
--- a/crates/lab/src/timeline.rs
+++ b/crates/lab/src/timeline.rs
@@ -1,5 +1,6 @@
 //! A scripted run.
 
+use crate::member_model::USUAL_REPORTS_PER_MILLE;
 use serde::Deserialize;
 
 /// The schema of timelines.
@@ -27,6 +28,9 @@
     /// Members of a group.
     #[serde(rename = "@members", default = "four")]
     pub members: usize,
+    /// Reports, which take long, among a thousand requests.
+    #[serde(rename = "@reports", default = "usual_reports")]
+    pub reports: u64,
     /// The seed of all that is drawn.
     #[serde(rename = "@seed", default = "seven")]
     pub seed: u64,
@@ -43,6 +47,10 @@
     4
 }
 
+fn usual_reports() -> u64 {
+    USUAL_REPORTS_PER_MILLE
+}
+
 fn seven() -> u64 {
     7
 }
--- a/crates/lab/tests/member_model.rs
+++ b/crates/lab/tests/member_model.rs
@@ -1,6 +1,6 @@
 //! The model of the stand-in members, in virtual time.
 
-use wharfplank_lab::member_model::{Admission, IncomingRequest, MemberModel};
+use wharfplank_lab::member_model::{Admission, IncomingRequest, MemberModel, USUAL_REPORTS_PER_MILLE};
 use wharfplank_lab::timeline::{Kind, Timeline, Trouble};
 
 /// Guards against a script that begins later than the members' clock and takes their log with it: positions ahead
@@ -13,6 +13,7 @@
         proxies: 1,
         groups: 1,
         members: 3,
+        reports: USUAL_REPORTS_PER_MILLE,
         seed: 1,
         troubles: vec![Trouble { kind: Kind::Lose, at: 2, lasts: 5, on: "a".to_string(), percent: 100 }],
     };
