A request that is much of the fleet's budget is not sent to a member in slow start

Cause: slow_start_permits sends a request of more work than the valid permits seldom enough for the mean, but where a few such make up the budget the mean says little. Change: above 3 requests of mean work none that is more than an eighth of what all routers may send.

--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -22,6 +22,11 @@
 /// A router that has had this many answers of each member lately, in the mean, tells members that are silent
 /// for all from those that are for it alone.
 const LEAST_ANSWERS: f64 = 4.0;
+/// Requests of this much work or less may be sent whatever the budget: a member without any would never take
+/// writes.
+const LIGHT_WORK: f64 = 3.0;
+/// The largest part of the fleet's budget that one request may be.
+const LARGEST_BUDGET_PART: f64 = 1.0 / 8.0;
 /// The overload span, in µs, where the settings have none.
 const DEFAULT_OVERLOAD_SPAN: Micros = 1_000_000;
 
@@ -89,6 +94,10 @@
         }
         let valid = member.slow_start.permits.valid(self.permit_schedule(member), self.now);
         let work = self.request_work.of(class);
+        // A few requests that are much of the budget would overload the member by chance.
+        if work > LIGHT_WORK.max(self.fleet_budget(member) * LARGEST_BUDGET_PART) {
+            return None;
+        }
         // A request of more work than the valid permits stand for uses them all, and is sent only so seldom
         // that its work makes no difference in the mean.
         let is_admitted = valid.count >= 1.0 && self.draw_permit(host, valid) * work <= valid.count;
@@ -129,13 +138,20 @@
 
     /// This router's part of what all may send the member within the overload span.
     fn permit_schedule(&self, member: &Member) -> PermitSchedule {
-        let span = self.overload_span() as f64;
         let routers = f64::from(self.settings.routers.max(1));
-        let multiple = self.settings.overload_multiple * self.least_capacity(member);
-        let earned = (self.warm_answer_rate() * span * multiple).max(LEAST_FLEET_SENDS / routers);
-        let slack = CHANCE_SLACK * (earned * routers).sqrt() / routers;
+        let budget = self.fleet_budget(member);
+        let slack = SLACK_PART * CHANCE_SLACK * budget.sqrt();
         let arrivals = self.groups.get(&member.group).map_or(0.0, |group| group.arrivals.at(self.now));
-        PermitSchedule::within(earned + slack * SLACK_PART, span, arrivals)
+        PermitSchedule::within((budget + slack) / routers, self.overload_span() as f64, arrivals)
+    }
+
+    /// What all routers together may send the member within the overload span, if all get as many answers as
+    /// this one.
+    fn fleet_budget(&self, member: &Member) -> f64 {
+        let multiple = self.settings.overload_multiple * self.least_capacity(member);
+        let routers = f64::from(self.settings.routers.max(1));
+        let earned = self.warm_answer_rate() * self.overload_span() as f64 * multiple * routers;
+        earned.max(LEAST_FLEET_SENDS)
     }
 
     fn overload_span(&self) -> Micros {
