The rate of warm members is measured once in 50 ms, not for each candidate and log line

Seen on reading the change: the mean over all members was counted twice for each candidate in slow start (once before this round) and once for each member of the slow_start lines each second. With 3,200 members, 1,900 of them in slow start, that is about 6 million terms a second in the lines alone. Change: WarmAnswerRate keeps the mean for 50 ms, one eightieth of what it is averaged over, and until the list changes; where no member is in slow start nothing is counted. CPU was not measured at that size.

--- a/crates/routing/src/policy/membership.rs
+++ b/crates/routing/src/policy/membership.rs
@@ -60,6 +60,8 @@
             self.update_endpoint(endpoint);
         }
         self.has_endpoint_list = true;
+        self.warm_rate.expire();
+        self.refresh_warm_answer_rate();
         self.dispatch_all_queued();
     }
 
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -59,6 +59,7 @@
 use request_work::RequestWork;
 use requests::PendingRequest;
 use sessions::SessionCommits;
+use slow_start::WarmAnswerRate;
 use std::collections::BTreeMap;
 
 /// The timer's interval while requests are queued.
@@ -95,6 +96,7 @@
     usual_latency: Vec<f64>,
     request_work: RequestWork,
     value_density: ValueDensity,
+    warm_rate: WarmAnswerRate,
     /// Whether the endpoint list has arrived at least once.
     has_endpoint_list: bool,
     /// When the timer that is set expires.
@@ -127,6 +129,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         self.detect_stall();
+        self.refresh_warm_answer_rate();
         self.dispatch_event(event);
         self.set_timer();
         actions.append(&mut self.actions);
--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -22,6 +22,8 @@
 /// A router that has had this many answers of each member lately, in the mean, tells members that are silent
 /// for all from those that are for it alone.
 const LEAST_ANSWERS: f64 = 4.0;
+/// The mean of answers is measured anew after this span, in µs: a small part of what it is averaged over.
+const WARM_RATE_INTERVAL: Micros = 50_000;
 /// Requests of this much work or less may be sent whatever the budget: a member without any would never take
 /// writes.
 const LIGHT_WORK: f64 = 3.0;
@@ -54,6 +56,22 @@
     }
 }
 
+/// What a warm member answers to this router, as it was last measured.
+#[derive(Default)]
+pub(super) struct WarmAnswerRate {
+    per_micro: f64,
+    measured_at: Micros,
+    /// No member is in slow start from then on, unless another one starts.
+    needed_until: Micros,
+}
+
+impl WarmAnswerRate {
+    /// The list has changed: the rate is measured with the next event.
+    pub(super) fn expire(&mut self) {
+        self.measured_at = Micros::MIN / 2;
+    }
+}
+
 /// Permits for one request.
 pub(super) struct RequestPermits {
     valid: ValidPermits,
@@ -66,6 +84,8 @@
     pub(super) fn restart_slow_start(&mut self, host: HostId, started_at: Micros) {
         let phase = unit_interval(self.settings.seed, u64::from(host.0));
         let (span, now) = (self.overload_span(), self.now);
+        let ends_at = started_at.saturating_add(self.settings.slow_start_span);
+        self.warm_rate.needed_until = self.warm_rate.needed_until.max(ends_at);
         if let Some(member) = self.members.get_mut(&host) {
             member.slow_start.restart(started_at, phase, span, now);
         }
@@ -150,7 +170,7 @@
     fn fleet_budget(&self, member: &Member) -> f64 {
         let multiple = self.settings.overload_multiple * self.least_capacity(member);
         let routers = f64::from(self.settings.routers.max(1));
-        let earned = self.warm_answer_rate() * self.overload_span() as f64 * multiple * routers;
+        let earned = self.warm_rate.per_micro * self.overload_span() as f64 * multiple * routers;
         earned.max(LEAST_FLEET_SENDS)
     }
 
@@ -165,8 +185,18 @@
         1.0 - (1.0 - self.settings.slow_start_from) * (1.0 - age / span).max(0.0)
     }
 
+    /// Measures anew what a warm member answers, if that was long ago and a member is in slow start. The mean
+    /// is over all members, too many to count for each request.
+    pub(super) fn refresh_warm_answer_rate(&mut self) {
+        let is_due = self.now - self.warm_rate.measured_at >= WARM_RATE_INTERVAL;
+        if is_due && self.now < self.warm_rate.needed_until {
+            self.warm_rate.per_micro = self.measure_warm_answer_rate();
+            self.warm_rate.measured_at = self.now;
+        }
+    }
+
     /// The answers per µs that this router gets from a warm member, in the mean over all that are listed.
-    fn warm_answer_rate(&self) -> f64 {
+    fn measure_warm_answer_rate(&self) -> f64 {
         let listed = self.members.values().filter(|member| member.status == EndpointStatus::Up);
         let warm: Vec<(f64, bool)> = listed
             .filter(|member| !self.is_warming_up(member))
