A queued request is answered in time although a later timer is set

Callers saw a final answer up to 30 ms after their deadline (20 ms are allowed) where their request was queued while others were in flight.

Cause: the router set its timer only when none was set. One for attempts in flight lasts 30 ms, and a request queued meanwhile waited for it.

Change: a timer is set whenever the next check is due sooner than the one that is set, at the latest when the first queued request stops being worth sending; a timer that was replaced is ignored when it expires. So no check waits for a later timer, and timers do not add up.

--- a/crates/routing/src/api/actions.rs
+++ b/crates/routing/src/api/actions.rs
@@ -138,7 +138,8 @@
         /// What the answer is needed for.
         purpose: ProbePurpose,
     },
-    /// Call back with [`Event::Timer`](super::Event::Timer) after this span.
+    /// Call back with [`Event::Timer`](super::Event::Timer) after this span, and not before. Timers that were set
+    /// earlier stay set.
     SetTimer(Micros),
     /// Subscribe to the endpoint list.
     Subscribe,
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -62,10 +62,9 @@
 use slow_start::WarmAnswerRate;
 use std::collections::BTreeMap;
 
-/// The timer's interval while requests are queued.
+/// The longest time between two checks while requests are queued.
 const QUEUE_CHECK_INTERVAL: Micros = 10_000;
-/// The timer's interval while requests are in flight and none is queued. It is not shortened when a request
-/// is queued meanwhile, so that one may be given up this much after its deadline.
+/// The time between two checks while requests are in flight and none is queued.
 const IN_FLIGHT_CHECK_INTERVAL: Micros = 30_000;
 /// The router stood still if its timer expires this much too late.
 const STALL_THRESHOLD: Micros = 100_000;
@@ -99,8 +98,10 @@
     warm_rate: WarmAnswerRate,
     /// Whether the endpoint list has arrived at least once.
     has_endpoint_list: bool,
-    /// When the timer that is set expires.
+    /// When the earliest timer that is set expires.
     timer_due: Option<Micros>,
+    /// When the first request that was queued since the last check stops being worth sending.
+    first_queued_expiry: Option<Micros>,
     /// When the router last resumed after it stood still: earlier silence does not count against members.
     resumed_at: Micros,
     /// What is to be done about the present event.
@@ -166,14 +167,27 @@
         }
     }
 
-    /// Sets the timer if requests are pending and it is not set.
+    /// Sets a timer for the next check, unless one that is set expires before it. A timer that was set for later
+    /// stays set, and is ignored when it expires.
     fn set_timer(&mut self) {
-        if self.timer_due.is_some() || self.pending.is_empty() {
+        let Some(check_at) = self.next_check_at() else { return };
+        if self.timer_due.is_some_and(|due| due <= check_at) {
             return;
         }
+        self.timer_due = Some(check_at);
+        self.actions.push(Action::SetTimer(check_at - self.now));
+    }
+
+    /// When the pending requests are to be checked next; `None` if there are none.
+    fn next_check_at(&self) -> Option<Micros> {
+        if self.pending.is_empty() {
+            return None;
+        }
         let has_queued = self.groups.values().any(|group| !group.queued.is_empty());
-        let interval = if has_queued { QUEUE_CHECK_INTERVAL } else { IN_FLIGHT_CHECK_INTERVAL };
-        self.timer_due = Some(self.now + interval);
-        self.actions.push(Action::SetTimer(interval));
+        if !has_queued {
+            return Some(self.now + IN_FLIGHT_CHECK_INTERVAL);
+        }
+        let check_at = self.now + QUEUE_CHECK_INTERVAL;
+        Some(self.first_queued_expiry.map_or(check_at, |expiry| expiry.clamp(self.now, check_at)))
     }
 }
--- a/crates/routing/src/policy/outliers.rs
+++ b/crates/routing/src/policy/outliers.rs
@@ -160,10 +160,14 @@
         }
     }
 
-    /// The timer expired: evaluates members that are silent, cancels what may be repeated elsewhere, and
-    /// tries what is queued again.
+    /// A timer expired: evaluates members that are silent, cancels what may be repeated elsewhere, and tries
+    /// what is queued again. A timer that an earlier one has replaced is ignored.
     pub(super) fn on_timer(&mut self) {
+        if self.timer_due.is_some_and(|due| due > self.now) {
+            return;
+        }
         self.timer_due = None;
+        self.first_queued_expiry = None;
         let hosts: BTreeSet<HostId> =
             self.pending.values().filter_map(|pending| pending.in_flight_at).collect();
         for host in hosts {
--- a/crates/routing/src/policy/request_queue.rs
+++ b/crates/routing/src/policy/request_queue.rs
@@ -19,14 +19,16 @@
 }
 
 impl Router {
-    /// Queues the request until a member of its group becomes available.
+    /// Queues the request until a member of its group becomes available, or until it expires.
     pub(super) fn enqueue(&mut self, id: RequestId, group: GroupId) {
-        match self.groups.get_mut(&group) {
-            Some(group) => {
-                group.queued.insert(id);
-            }
-            None => self.give_up(id, RejectReason::NoMember),
-        }
+        let Some(group) = self.groups.get_mut(&group) else {
+            return self.give_up(id, RejectReason::NoMember);
+        };
+        group.queued.insert(id);
+        let Some(pending) = self.pending.get(&id) else { return };
+        let expiry =
+            self.first_queued_expiry.map_or(pending.useful_until, |first| first.min(pending.useful_until));
+        self.first_queued_expiry = Some(expiry);
     }
 
     /// Tries to send the group's queued requests; what still cannot be sent is queued again.
--- a/crates/routing/src/policy/requests.rs
+++ b/crates/routing/src/policy/requests.rs
@@ -23,7 +23,7 @@
     pub(super) request: Request,
     pub(super) arrived_at: Micros,
     /// When an answer stops being worth anything.
-    useful_until: Micros,
+    pub(super) useful_until: Micros,
     pub(super) attempts: u32,
     /// The member at which an attempt is in flight.
     pub(super) in_flight_at: Option<HostId>,
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -9,6 +9,8 @@
 
 use ledger::Ledger;
 use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use rstest::rstest;
 use serde_json::{json, Value};
 use steps::Step;
 use wharfplank::proxy::config::{AddressOverrides, Config};
@@ -123,3 +125,24 @@
         prop_assert!(what.contains(&format!("field Classes.{class}.{field}: ")), "{}", what);
     }
 }
+
+/// Guards against a request that is queued while a later timer is set, and given up only when that one expires: with
+/// these seeds some were.
+#[rstest]
+fn requests_queued_behind_others_get_their_answer_in_time(#[values(21, 111, 114, 125, 134, 142)] seed: u64) {
+    let config = ProptestConfig {
+        cases: 100,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    };
+    let drawn = (customer(), any::<bool>(), prop::collection::vec(step(), 1..120));
+    let result = TestRunner::new(config).run(&drawn, |(customer, roles, steps)| {
+        let read = Config::parse(customer.to_string().as_bytes(), AddressOverrides::default());
+        let mut ledger = Ledger::new(read.expect("good settings start").settings, roles);
+        steps.into_iter().for_each(|step| ledger.play(step));
+        ledger.close();
+        Ok(())
+    });
+    assert!(result.is_ok(), "{}", result.unwrap_err());
+}
--- /dev/null
+++ b/tests/router_timer.rs
@@ -0,0 +1,59 @@
+//! The router's timer: a check that falls due before the timer that is set is not missed.
+
+mod common;
+use common::*;
+use wharfplank::routing::*;
+
+/// How often timers are set at the most while a request is queued.
+const TIMERS_PER_SECOND: usize = 110;
+
+fn timers(actions: &[Action]) -> impl Iterator<Item = Micros> + '_ {
+    actions.iter().filter_map(|action| match action {
+        Action::SetTimer(span) => Some(*span),
+        _ => None,
+    })
+}
+
+/// A group without a known primary, in which one write searches for it and others wait for its result.
+fn with_a_searching_write() -> (Bench, Vec<Action>) {
+    let members = (1..=4).map(|host| entry(host, false)).collect();
+    let mut bench = Bench::with(Settings { may_probe: false, ..settings() }, members);
+    let actions = bench.ask(UNSAFE);
+    assert_eq!(sends(&actions).len(), 1);
+    (bench, actions)
+}
+
+/// Guards against a request that is queued while a later timer is set, and given up only when that one expires.
+#[test]
+fn a_request_queued_behind_one_in_flight_is_given_up_by_its_deadline() {
+    let (mut bench, first) = with_a_searching_write();
+    assert!(timers(&first).all(|span| span > 10_000), "a timer for attempts in flight is set");
+    bench.now += 1_000;
+    let actions = bench.ask_with(UNSAFE, None, 5_000);
+    assert!(refused(&actions), "less time is left than an answer usually takes");
+    let actions = bench.ask_with(KEYED, None, 300_000);
+    assert!(sends(&actions).is_empty() && !refused(&actions), "it is queued");
+    assert_eq!(timers(&actions).collect::<Vec<_>>(), [10_000]);
+}
+
+/// Guards against a further timer for each one that was replaced: their number would grow without bound.
+#[test]
+fn replaced_timers_do_not_add_up() {
+    let (mut bench, first) = with_a_searching_write();
+    let mut due: Vec<Micros> = timers(&first).map(|span| bench.now + span).collect();
+    let mut set = due.len();
+    let end = bench.now + 1_000_000;
+    while bench.now < end {
+        bench.now += 500;
+        let expired = due.iter().filter(|at| **at <= bench.now).count();
+        due.retain(|at| *at > bench.now);
+        let mut actions = Vec::new();
+        (0..expired).for_each(|_| actions.extend(bench.tell(Event::Timer)));
+        actions.extend(bench.ask_with(KEYED, None, 300_000));
+        let now = bench.now;
+        due.extend(timers(&actions).map(|span| now + span));
+        set += timers(&actions).count();
+        assert!(due.len() <= 3, "{} timers are set at once", due.len());
+    }
+    assert!(set <= TIMERS_PER_SECOND, "{set} timers in a second");
+}
