--- a/crates/transport/src/gossip/driver.rs
+++ b/crates/transport/src/gossip/driver.rs
@@ -140,6 +140,9 @@
         due = due.min(self.next_traffic_log_at);
         if let Some(shared_state) = &worker.shared_state {
             due = due.min(shared_state.next_due()).min(self.next_digest_at);
+            if worker.save_snapshot.is_some() {
+                due = due.min(self.next_snapshot_at);
+            }
         }
         if let Some(health) = &worker.health {
             due = due.min(health.next_evaluation_at());
