Interrupted and failing system calls lose no requests

Callers saw requests with no answer at all: an interrupted read or write closed their connection, and so did one without memory for a moment; on members' connections requests failed, writes as ones that may have run. An aborted accept closed another client's idle connection. A socket that could not be opened for a moment ended the process at its start.

Cause: each place decided by itself what an error means, and most took any error for the end.

Idle connections are closed for an accept only where descriptors are short, and those in use only after three failures in a row. Found by reading on the way: an interrupted read of the signal pipe ended the forwarding of SIGTERM and SIGHUP for good.

Not tested: calls that do not go through the C library (connect, epoll), except that the repetition of connects is tested without sockets. Not done: registering an accepted connection with the reactor may still fail for want of memory.

--- a/crates/proxy/src/budgets/mod.rs
+++ b/crates/proxy/src/budgets/mod.rs
@@ -17,6 +17,7 @@
 use wharfplank_transport::budgets::{
     self as lease_worker, BudgetLogEvent, Budgets, BudgetsConfig, LeaseWorker, OwnAllocator,
 };
+use wharfplank_transport::socket::open;
 
 /// The percentage of a budget that is handed out statically where there are no allocators to lease the rest: all of it.
 const ALL_PERCENT: u64 = 100;
@@ -94,7 +95,7 @@
 
 fn bind(settings: &BudgetSettings) -> Result<(UdpSocket, SocketAddrV4), StartError> {
     let listen_error = StartError::component_listen(Component::Budgets, &settings.listen);
-    let socket = UdpSocket::bind(settings.listen()).map_err(&listen_error)?;
+    let socket = open::bind_udp(settings.listen()).map_err(&listen_error)?;
     match socket.local_addr().map_err(&listen_error)? {
         SocketAddr::V4(bound) => Ok((socket, bound)),
         SocketAddr::V6(_) => Err(StartError::BudgetsNotIpv4(settings.listen.clone())),
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -20,6 +20,7 @@
 use wharfplank_transport::gossip::{
     self as gossip_worker, GossipHandle, GossipWorker, HandleConfig, HealthEvaluator, SaveSnapshot,
 };
+use wharfplank_transport::socket::open;
 use wharfplank_transport::ProxyEvent;
 
 /// A counter that all proxies of the fleet add up.
@@ -96,7 +97,7 @@
 }
 
 fn bind(settings: &GossipSettings) -> Result<(UdpSocket, SocketAddrV4), StartError> {
-    let socket = UdpSocket::bind(settings.listen())
+    let socket = open::bind_udp(settings.listen())
         .map_err(StartError::component_listen(Component::Peers, &settings.listen))?;
     match socket.local_addr().map_err(StartError::component_start(Component::Peers))? {
         SocketAddr::V4(bound) => Ok((socket, bound)),
--- a/crates/proxy/src/negative_cache_client/mod.rs
+++ b/crates/proxy/src/negative_cache_client/mod.rs
@@ -13,7 +13,6 @@
 use request_kind::{RequestKind, RequestKinds};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::UdpSocket;
 use std::rc::Rc;
 use wharfplank_negative_cache::{Freshness, KeyHasher, Lookup, NegativeCacheConfig, Node, WriteId};
 use wharfplank_protocol::endpoint_list::EndpointRecord;
@@ -22,6 +21,7 @@
 use wharfplank_settings::NegativeCacheSettings;
 use wharfplank_shared_state::hash_name;
 use wharfplank_transport::negative_cache;
+use wharfplank_transport::socket::open;
 use wharfplank_transport::{Now, Statement};
 
 /// Why an attempt of a write must not be sent.
@@ -60,7 +60,7 @@
         executor: &LocalExecutor<'static>,
     ) -> Result<Self, StartError> {
         let address = settings.listen();
-        let socket = UdpSocket::bind(address)
+        let socket = open::bind_udp(address)
             .map_err(StartError::component_listen(Component::NegativeCache, address))?;
         let cache_config = NegativeCacheConfig {
             max_clock_skew: settings.max_clock_skew_ms * 1000,
--- a/crates/proxy/src/rollout/mod.rs
+++ b/crates/proxy/src/rollout/mod.rs
@@ -11,7 +11,6 @@
 use crate::log;
 use observation::{attempt_counts, member_view};
 use std::collections::{BTreeMap, HashMap};
-use std::net::UdpSocket;
 use std::path::PathBuf;
 use wharfplank_admin::Cordons;
 use wharfplank_protocol::endpoint_list::EndpointRecord;
@@ -19,6 +18,7 @@
 use wharfplank_routing::{self as routing, AttemptOutcome, ClassId, HostId, Micros};
 use wharfplank_settings::RolloutSettings;
 use wharfplank_transport::rollout::{self, RolloutContext, RolloutLogEvent};
+use wharfplank_transport::socket::open;
 use wharfplank_transport::worker::{RingReceiver, RingSender};
 
 /// Members whose attempts are counted at most; past that those that are not in the inventory are forgotten.
@@ -59,7 +59,7 @@
     pub fn start(settings: &RolloutSettings, config: &Config, clock: Clock) -> Result<Self, StartError> {
         let address = settings.listen();
         let socket =
-            UdpSocket::bind(address).map_err(StartError::component_listen(Component::Rollout, address))?;
+            open::bind_udp(address).map_err(StartError::component_listen(Component::Rollout, address))?;
         log::rollout_started(socket.local_addr().unwrap_or(address.into()));
         let node_ids = setup::node_ids(settings);
         let node_names: BTreeMap<NodeId, String> =
--- a/crates/transport/src/admin.rs
+++ b/crates/transport/src/admin.rs
@@ -4,6 +4,8 @@
 //! and members hold, an operator's call gets a slot.
 
 use super::with_deadline;
+use crate::socket::open;
+use crate::socket::stream::TcpConnection;
 use async_channel::{bounded, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -11,7 +13,7 @@
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_admin::{Command, CommandError, CommandReader};
@@ -74,7 +76,7 @@
     /// Accepts connections until it is dropped.
     pub async fn accept_connections(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
-            match listener.accept().await {
+            match open::accept(&listener).await {
                 Ok((stream, _)) => self.admit(stream).await,
                 Err(_) => {
                     Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -84,7 +86,7 @@
     }
 
     /// Serves a connection once it has a slot.
-    async fn admit(self: &Rc<Self>, stream: Async<TcpStream>) {
+    async fn admit(self: &Rc<Self>, stream: TcpConnection) {
         self.wait_for_slot().await;
         let id = self.next_id.replace(self.next_id.get() + 1);
         self.open_connections.set(self.open_connections.get() + 1);
@@ -113,7 +115,7 @@
         }
     }
 
-    async fn serve(&self, id: ConnectionId, mut stream: Async<TcpStream>, evicted: EventListener) {
+    async fn serve(&self, id: ConnectionId, mut stream: TcpConnection, evicted: EventListener) {
         // Without the option answers are slower, and no less correct.
         let _ = stream.get_ref().set_nodelay(true);
         let evicted = async {
@@ -144,7 +146,7 @@
 }
 
 /// Reads the caller's line; `None` where the caller disconnected without sending anything.
-async fn read_command(stream: &mut Async<TcpStream>) -> Option<Result<Command, CommandError>> {
+async fn read_command(stream: &mut TcpConnection) -> Option<Result<Command, CommandError>> {
     let mut reader = CommandReader::default();
     let mut bytes = [0; READ_BYTES];
     let mut has_read = false;
@@ -164,7 +166,7 @@
 
 /// Writes the answer and waits until the caller closes. Closing the connection over unread bytes would reset it, and the
 /// answer would be lost.
-async fn write_answer(stream: &mut Async<TcpStream>, answer: &str) -> std::io::Result<()> {
+async fn write_answer(stream: &mut TcpConnection, answer: &str) -> std::io::Result<()> {
     stream.write_all(answer.as_bytes()).await?;
     stream.get_ref().shutdown(Shutdown::Write)?;
     let mut ignored = [0; READ_BYTES];
--- a/crates/transport/src/budgets/lease_worker.rs
+++ b/crates/transport/src/budgets/lease_worker.rs
@@ -3,6 +3,7 @@
 //! The leases themselves are the serving thread's: only the thread that spends can promise that a lease is not used any
 //! more.
 
+use crate::socket::open;
 use crate::worker::{RingReceiver, RingSender};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -111,7 +112,7 @@
         mut requests: RingReceiver<AllocatorRequest>,
         mut updates: RingSender<LeaseUpdate>,
     ) {
-        let Ok(socket) = self.socket.try_clone().and_then(Async::new) else { return };
+        let Ok(socket) = open::register(&self.socket) else { return };
         let mut buffer = vec![0_u8; DATAGRAM_BUFFER_BYTES];
         let mut status = WorkerStatus::default();
         let mut next_announcement_at = 0;
--- a/crates/transport/src/client_connection.rs
+++ b/crates/transport/src/client_connection.rs
@@ -22,10 +22,9 @@
 pub use response_writer::ResponseWriter;
 
 use crate::client_listener::{ClientListener, ConnectionState};
+use crate::socket::stream::TcpConnection;
 use crate::ProxyEvent;
 use arrival_times::ArrivalTimes;
-use async_io::Async;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
 use streaming::ActiveStream;
@@ -34,7 +33,7 @@
 /// The connection of one client.
 pub(crate) struct ClientConnection {
     /// Shared with its own writes, during which it is read all the same.
-    stream: Rc<Async<TcpStream>>,
+    stream: Rc<TcpConnection>,
     session: ClientSession,
     state: Rc<ConnectionState>,
     response_writer: Rc<ResponseWriter>,
@@ -55,7 +54,7 @@
 
 impl ClientConnection {
     /// Wraps a stream that was just accepted.
-    pub(crate) fn new(stream: Async<TcpStream>, state: Rc<ConnectionState>, accepted_at: Instant) -> Self {
+    pub(crate) fn new(stream: TcpConnection, state: Rc<ConnectionState>, accepted_at: Instant) -> Self {
         let stream = Rc::new(stream);
         state.response_writer.attach_socket(&stream);
         ClientConnection {
--- a/crates/transport/src/client_connection/input.rs
+++ b/crates/transport/src/client_connection/input.rs
@@ -8,7 +8,6 @@
 use async_io::Timer;
 use futures_lite::{future, AsyncReadExt};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::io::{ErrorKind, Read};
 use std::time::Duration;
 
 /// Bytes that are read ahead while no further command is accepted, whatever others hold.
@@ -86,15 +85,10 @@
     /// Reads what has already arrived; `None` if nothing has.
     fn try_read(&mut self) -> Result<Option<usize>, CloseReason> {
         self.reserve_read_buffer();
-        let count = match self.stream.get_ref().read(self.session.buffer.spare()) {
-            Ok(count) => count,
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                return Ok(None);
-            }
-            Err(_) => return Err(CloseReason::ClientReset),
-        };
-        self.on_read(count);
-        Ok(Some(count))
+        let read = self.stream.try_read(self.session.buffer.spare());
+        let count = read.map_err(|_| CloseReason::ClientReset)?;
+        self.on_read(count.unwrap_or(0));
+        Ok(count)
     }
 
     /// Makes room to read into, and reserves its memory. Returns false if the budget is exceeded.
@@ -130,7 +124,7 @@
     async fn poll_for_disconnect(&self) -> Result<usize, CloseReason> {
         const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
         loop {
-            let mut polled = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+            let mut polled = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
             let result = poll(&mut polled, Some(&NO_WAIT));
             if result.is_ok() && polled[0].revents().contains(PollFlags::RDHUP) {
                 return Ok(0);
--- a/crates/transport/src/client_connection/response_writer.rs
+++ b/crates/transport/src/client_connection/response_writer.rs
@@ -2,12 +2,12 @@
 
 use super::CloseReason;
 use crate::response_stream::ResponseStream;
-use crate::{socket, MemoryBudget, MemoryReservation};
-use async_io::Async;
+use crate::socket::peek;
+use crate::socket::stream::TcpConnection;
+use crate::{MemoryBudget, MemoryReservation};
 use event_listener::{Event, EventListener};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use wharfplank_protocol::client_session::ProtocolViolation;
 use wharfplank_protocol::pipeline::{FinalResponse, NextWrite, Pipeline, RequestNumber};
@@ -21,7 +21,7 @@
     /// Whether the client has disconnected.
     disconnected: Cell<bool>,
     /// The client's socket, while the connection is served.
-    socket: RefCell<Weak<Async<TcpStream>>>,
+    socket: RefCell<Weak<TcpConnection>>,
     memory_budget: Rc<MemoryBudget>,
     reservation: RefCell<MemoryReservation>,
     /// The size of the buffer that the connection reads into.
@@ -84,7 +84,7 @@
     /// order.
     pub fn is_awaited_now(&self, number: RequestNumber) -> bool {
         let stream = self.socket.borrow().upgrade();
-        if stream.is_some_and(|stream| socket::has_ended(stream.get_ref())) {
+        if stream.is_some_and(|stream| peek::has_ended(stream.get_ref())) {
             self.disconnected.set(true);
         }
         self.is_awaited(number)
@@ -106,7 +106,7 @@
     }
 
     /// Looks at this socket from now on to see the client's disconnect.
-    pub(super) fn attach_socket(&self, socket: &Rc<Async<TcpStream>>) {
+    pub(super) fn attach_socket(&self, socket: &Rc<TcpConnection>) {
         *self.socket.borrow_mut() = Rc::downgrade(socket);
     }
 
--- a/crates/transport/src/client_connection/streaming.rs
+++ b/crates/transport/src/client_connection/streaming.rs
@@ -3,7 +3,7 @@
 use super::output::FLUSH_SIZE;
 use super::{ClientConnection, CloseReason};
 use crate::response_stream::{ResponseStream, StreamPiece};
-use crate::socket;
+use crate::socket::peek;
 use async_channel::{Receiver, TryRecvError};
 use wharfplank_protocol::pipeline::{FinalResponse, RequestNumber};
 
@@ -104,7 +104,7 @@
     fn has_further_input(&self) -> bool {
         self.response_writer.has_following()
             || !self.session.buffer.unread().is_empty()
-            || socket::has_unread_bytes(self.stream.get_ref())
+            || peek::has_unread_bytes(self.stream.get_ref())
     }
 
     fn end_stream(&mut self) {
--- a/crates/transport/src/client_connection/wait.rs
+++ b/crates/transport/src/client_connection/wait.rs
@@ -4,7 +4,8 @@
 use super::{ClientConnection, CloseReason};
 use crate::client_listener::{ClientListener, DrainPhase};
 use crate::response_stream::StreamPiece;
-use crate::{socket, with_deadline};
+use crate::socket::peek;
+use crate::with_deadline;
 use event_listener::EventListener;
 use futures_lite::future;
 use std::net::Shutdown;
@@ -185,6 +186,6 @@
     /// may be suspended between any two steps: so nothing lies between this look and the close.
     fn close_if_quiet(&self) -> bool {
         let stream = self.stream.get_ref();
-        socket::is_quiet(stream) && stream.shutdown(Shutdown::Both).is_ok()
+        peek::is_quiet(stream) && stream.shutdown(Shutdown::Both).is_ok()
     }
 }
--- a/crates/transport/src/client_listener.rs
+++ b/crates/transport/src/client_listener.rs
@@ -7,6 +7,8 @@
 pub(crate) use connection_state::ConnectionState;
 
 use crate::client_connection::{CancelKeys, ClientConnection, CloseReason, ResponseWriter};
+use crate::socket::stream::TcpConnection;
+use crate::socket::{open, transient};
 use crate::{ConnectionEnd, ConnectionEndObserver, MemoryBudget, ProxyEvent, Remote};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -15,14 +17,15 @@
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_protocol::client_session::ProtocolViolation;
 
 /// The most connections that the operating system queues for the listener.
 const BACKLOG: usize = 4096;
-/// The pause after a connection could not be accepted, most likely since no descriptor was left.
+/// The pause after a connection could not be accepted for want of a resource.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// What a client is told for whose connection there is no place.
 const TOO_MANY_CONNECTIONS: ProtocolViolation =
@@ -41,6 +44,8 @@
     memory_budget: Rc<MemoryBudget>,
     /// Connections that wait until their last error has arrived. They hold descriptors, so their number is limited.
     pub(crate) lingering: Cell<usize>,
+    /// Accepts that have failed in a row for want of a descriptor.
+    failed_accepts: Cell<u32>,
     /// Connections that have sent a command.
     with_commands: Cell<usize>,
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
@@ -83,6 +88,7 @@
             accepting: Cell::new(true),
             memory_budget,
             lingering: Cell::new(0),
+            failed_accepts: Cell::new(0),
             with_commands: Cell::new(0),
             connections: RefCell::default(),
             next_number: Cell::new(0),
@@ -154,37 +160,49 @@
                 state_change.await;
                 None
             };
-            match future::or(async { Some(listener.accept().await) }, interrupted).await {
+            match future::or(async { Some(open::accept(&listener).await) }, interrupted).await {
                 None => {}
                 Some(Ok((stream, address))) => {
                     self.admit(stream, address);
                     // Many new connections at once must not keep those from closing that make room for them.
                     future::yield_now().await;
                 }
-                Some(Err(_)) => {
-                    self.evict_one(|_| true);
-                    Timer::after(ACCEPT_BACKOFF).await;
-                }
+                Some(Err(error)) => self.recover_from_failed_accept(&error).await,
             }
         }
     }
 
+    /// Waits until a connection may be accepted again, and frees a descriptor if none was left.
+    async fn recover_from_failed_accept(&self, error: &io::Error) {
+        if transient::lacks_descriptors(error) {
+            self.failed_accepts.set(self.failed_accepts.get().saturating_add(1));
+            self.evict_for_descriptor(self.failed_accepts.get());
+        }
+        Timer::after(ACCEPT_BACKOFF).await;
+    }
+
     /// Accepts what the operating system has queued before the listener closes: closed with it, these connections
     /// would be reset, and what was written to them lost. Nothing is accepted if another process has taken the
     /// socket over.
     async fn accept_backlog(self: &Rc<Self>, listener: &Async<TcpListener>) {
         for _ in 0..BACKLOG {
-            let accepted = async { self.accepting.get().then_some(listener.accept().await) };
-            let Some(Some(Ok((stream, address)))) = future::poll_once(accepted).await else { return };
-            self.admit(stream, address);
-            // Those for which there is no place are told so, and closed, before the next is accepted: all at once
-            // would hold more descriptors than there are.
-            future::yield_now().await;
+            let accepted = async { self.accepting.get().then_some(open::accept(listener).await) };
+            match future::poll_once(accepted).await {
+                Some(Some(Ok((stream, address)))) => {
+                    self.admit(stream, address);
+                    // Those for which there is no place are told so, and closed, before the next is accepted: all at
+                    // once would hold more descriptors than there are.
+                    future::yield_now().await;
+                }
+                Some(Some(Err(error))) => self.recover_from_failed_accept(&error).await,
+                Some(None) | None => return,
+            }
         }
     }
 
     /// Starts the task of a new connection, which is rejected if there is no place for it.
-    fn admit(self: &Rc<Self>, stream: Async<TcpStream>, address: SocketAddr) {
+    fn admit(self: &Rc<Self>, stream: TcpConnection, address: SocketAddr) {
+        self.failed_accepts.set(0);
         let number = self.next_number();
         let accepted_at = Instant::now();
         let full = self.is_full();
--- a/crates/transport/src/client_listener/admission.rs
+++ b/crates/transport/src/client_listener/admission.rs
@@ -20,6 +20,10 @@
     max_connections / 10
 }
 
+/// Failed accepts in a row before connections are evicted that are likely to send another request: the descriptors of
+/// the machine may be short for a moment only.
+const MAX_PATIENT_FAILURES: u32 = 3;
+
 /// The order in which connections are evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionOrder {
@@ -85,14 +89,29 @@
         }
     }
 
+    /// Asks a connection to close after so many accepts in a row failed for want of a descriptor.
+    pub(super) fn evict_for_descriptor(&self, failures: u32) {
+        if failures > MAX_PATIENT_FAILURES {
+            self.evict_one(|_| true);
+        } else {
+            self.evict_first(|order, _| order <= EvictionOrder::LongIdle);
+        }
+    }
+
     /// Asks one of the `eligible` connections without an open request to close. Returns whether there is one.
     pub(super) fn evict_one(&self, eligible: impl Fn(&ConnectionState) -> bool) -> bool {
+        self.evict_first(|_, state| eligible(state))
+    }
+
+    /// Asks the first `eligible` connection in the order of eviction to close. Returns whether there is one.
+    fn evict_first(&self, eligible: impl Fn(EvictionOrder, &ConnectionState) -> bool) -> bool {
         let connections = self.connections.borrow();
         let now = Instant::now();
-        let candidates = connections.values().filter(|state| !state.evicted.get() && eligible(state));
+        let candidates = connections.values().filter(|state| !state.evicted.get());
         let ranked = candidates.filter_map(|state| {
             let idle_since = state.idle_since.get()?;
-            Some((EvictionOrder::of(state, now - idle_since), idle_since, state))
+            let order = EvictionOrder::of(state, now - idle_since);
+            eligible(order, state).then_some((order, idle_since, state))
         });
         let first = ranked.min_by_key(|(order, idle_since, _)| (*order, *idle_since));
         let Some((_, _, state)) = first else { return false };
--- a/crates/transport/src/discovery/connection.rs
+++ b/crates/transport/src/discovery/connection.rs
@@ -1,11 +1,11 @@
 //! One connection to discovery, and its line in the log.
 
 use super::poll::Limits;
+use crate::socket::stream::TcpConnection;
 use crate::{with_deadline, ConnectionEnd, ConnectionEndObserver, Remote};
-use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 use wharfplank_protocol::http;
@@ -55,7 +55,7 @@
 
 /// A connection to discovery.
 pub(super) struct Connection {
-    pub(super) stream: Async<TcpStream>,
+    pub(super) stream: TcpConnection,
     pub(super) reader: http::HttpResponseReader,
     pub(super) log_entry: LogEntry,
     /// Whether a byte of the current response has arrived.
--- a/crates/transport/src/discovery/poll.rs
+++ b/crates/transport/src/discovery/poll.rs
@@ -2,11 +2,10 @@
 
 use super::connection::{CloseReason, Connection, LogEntry};
 use super::Poller;
+use crate::socket::open;
 use crate::with_deadline;
-use async_io::Async;
 use futures_lite::future;
 use std::future::Future;
-use std::net::TcpStream;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -170,7 +169,7 @@
             reason: None,
             drop_reason: Rc::clone(&self.drop_reason),
         };
-        match with_deadline(deadline, Async::<TcpStream>::connect(self.address)).await {
+        match with_deadline(deadline, open::connect(self.address)).await {
             Some(Ok(stream)) => {
                 // Without the option polls are slower, and no less correct.
                 let _ = stream.get_ref().set_nodelay(true);
--- a/crates/transport/src/gossip/driver.rs
+++ b/crates/transport/src/gossip/driver.rs
@@ -2,6 +2,7 @@
 
 use super::observation::Observation;
 use super::{GossipLogEvent, GossipUpdate, GossipWorker, StallDetector};
+use crate::socket::open;
 use crate::worker::{RingReceiver, RingSender};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -54,7 +55,7 @@
     stall_detector: Arc<StallDetector>,
 ) {
     // Without a socket in the reactor nothing is received: this proxy then decides alone.
-    let Ok(socket) = Async::new(socket) else { return };
+    let Ok(socket) = open::register(&socket) else { return };
     let now = (worker.now)();
     let mut driver = Driver::new(worker, updates, now);
     driver.start(now);
--- a/crates/transport/src/handover/descriptor.rs
+++ b/crates/transport/src/handover/descriptor.rs
@@ -1,6 +1,7 @@
 //! The first byte of the reply to a handover request, with which the listening socket is passed.
 
 use async_io::Async;
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -30,7 +31,7 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = SendAncillaryBuffer::new(&mut space);
     control.push(SendAncillaryMessage::ScmRights(&descriptors));
-    sendmsg(stream, &[IoSlice::new(&[ACCEPTED])], &mut control, SendFlags::NOSIGNAL)?;
+    retry_on_intr(|| sendmsg(stream, &[IoSlice::new(&[ACCEPTED])], &mut control, SendFlags::NOSIGNAL))?;
     Ok(())
 }
 
@@ -39,7 +40,9 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut byte = [0];
-    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    retry_on_intr(|| {
+        recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)
+    })?;
     if byte[0] == BUSY {
         return Ok(Reply::Busy);
     }
--- a/crates/transport/src/handover/link.rs
+++ b/crates/transport/src/handover/link.rs
@@ -2,6 +2,7 @@
 
 use super::descriptor::{send_listener, BUSY};
 use super::{HandoverEvent, Inherited, MAX_LINE_BYTES, WRITE_TIMEOUT};
+use crate::socket::stream::Connection;
 use crate::{with_deadline, ProxyEvent};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -36,7 +37,7 @@
         let (outgoing, queued) = bounded(MAX_QUEUED_MESSAGES);
         let state_line = to_line(state);
         let task = async move {
-            let mut stream = stream;
+            let mut stream = Connection::from(stream);
             let reply = send_reply(&mut stream, &listener, &state_line);
             match with_deadline(Instant::now() + WRITE_TIMEOUT, reply).await {
                 Some(Ok(())) => exchange_messages(BufReader::new(stream), queued, events).await,
@@ -72,33 +73,34 @@
 }
 
 /// Rejects a request because another process is taking over already.
-pub async fn reject(mut stream: Async<UnixStream>) {
+pub async fn reject(stream: Async<UnixStream>) {
+    let mut stream = Connection::from(stream);
     // A process that does not read the reply times out.
     with_deadline(Instant::now() + WRITE_TIMEOUT, stream.write_all(&[BUSY])).await;
 }
 
 async fn send_reply(
-    stream: &mut Async<UnixStream>,
+    stream: &mut Connection<UnixStream>,
     listener: &Async<TcpListener>,
     state_line: &[u8],
 ) -> io::Result<()> {
-    stream.write_with(|stream| send_listener(stream, listener)).await?;
+    stream.as_async().write_with(|stream| send_listener(stream, listener)).await?;
     stream.write_all(state_line).await
 }
 
 /// Exchanges messages until one side ends.
 async fn exchange_messages(
-    stream: BufReader<Async<UnixStream>>,
+    stream: BufReader<Connection<UnixStream>>,
     queued: Receiver<HandoverMessage>,
     events: Sender<ProxyEvent>,
 ) {
-    let writer = stream.get_ref().get_ref().try_clone().and_then(Async::new);
+    let writer = stream.get_ref().get_ref().try_clone().and_then(Connection::new);
     future::or(receive_messages(stream, &events), send_messages(writer, queued)).await;
     report(&events, HandoverEvent::Disconnected).await;
 }
 
 /// Receives messages. One that cannot be read ends the link, since the two processes would differ.
-async fn receive_messages(mut stream: BufReader<Async<UnixStream>>, events: &Sender<ProxyEvent>) {
+async fn receive_messages(mut stream: BufReader<Connection<UnixStream>>, events: &Sender<ProxyEvent>) {
     let mut line = String::new();
     while let Ok(1..) = (&mut stream).take(MAX_LINE_BYTES).read_line(&mut line).await {
         let Ok(message) = serde_json::from_str(&line) else { return };
@@ -110,7 +112,7 @@
     }
 }
 
-async fn send_messages(writer: io::Result<Async<UnixStream>>, queued: Receiver<HandoverMessage>) {
+async fn send_messages(writer: io::Result<Connection<UnixStream>>, queued: Receiver<HandoverMessage>) {
     let Ok(mut writer) = writer else { return };
     while let Ok(message) = queued.recv().await {
         let line = to_line(&message);
--- a/crates/transport/src/handover/listener.rs
+++ b/crates/transport/src/handover/listener.rs
@@ -1,5 +1,6 @@
 //! Listening sockets.
 
+use crate::socket::open;
 use async_io::Async;
 use rustix::net::{socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io;
@@ -10,11 +11,15 @@
 
 /// Listens at an address at which no other process listens.
 pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
-    TcpListener::bind(address).and_then(Async::new)
+    open::retry_at_start(|| TcpListener::bind(address).and_then(Async::new))
 }
 
 /// Listens at an address at which another process, which did not hand its own socket over, may listen as well.
 pub fn listen_shared(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    open::retry_at_start(|| try_listen_shared(address))
+}
+
+fn try_listen_shared(address: SocketAddr) -> io::Result<Async<TcpListener>> {
     let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let socket = socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
     sockopt::set_socket_reuseaddr(&socket, true)?;
--- a/crates/transport/src/handover/request.rs
+++ b/crates/transport/src/handover/request.rs
@@ -2,8 +2,9 @@
 
 use super::descriptor::{receive_reply, Reply};
 use super::MAX_LINE_BYTES;
+use crate::socket::open;
+use crate::socket::stream::Connection;
 use crate::with_deadline;
-use async_io::Async;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncBufReadExt, AsyncReadExt};
 use std::io;
@@ -44,7 +45,7 @@
     listener: TcpListener,
     /// The state of the running process.
     pub state: HandoverState,
-    pub(super) stream: BufReader<Async<UnixStream>>,
+    pub(super) stream: BufReader<Connection<UnixStream>>,
 }
 
 impl Inherited {
@@ -63,7 +64,7 @@
 ///
 /// Fails with [`HandoverError::AlreadyReplaced`] where another process is taking over already.
 pub fn request(path: &Path) -> Result<Option<Inherited>, HandoverError> {
-    let Ok(stream) = UnixStream::connect(path) else { return Ok(None) };
+    let Ok(stream) = open::retry_at_start(|| UnixStream::connect(path)) else { return Ok(None) };
     let reply = with_deadline(Instant::now() + REPLY_TIMEOUT, receive(stream));
     match async_io::block_on(reply) {
         Some(Ok(inherited)) => Ok(Some(inherited)),
@@ -73,8 +74,8 @@
 }
 
 async fn receive(stream: UnixStream) -> Result<Inherited, HandoverError> {
-    let stream = Async::new(stream)?;
-    let descriptor = match stream.read_with(receive_reply).await? {
+    let stream = Connection::new(stream)?;
+    let descriptor = match stream.as_async().read_with(receive_reply).await? {
         Reply::Accepted(descriptor) => descriptor.ok_or(HandoverError::NoListener)?,
         Reply::Busy => return Err(HandoverError::AlreadyReplaced),
     };
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod response_stream;
 pub mod rollout;
 pub mod signals;
-mod socket;
+pub mod socket;
 pub mod worker;
 
 pub use connection_end::{ConnectionEnd, ConnectionEndObserver, Remote};
--- a/crates/transport/src/member_pool/checkout.rs
+++ b/crates/transport/src/member_pool/checkout.rs
@@ -157,7 +157,7 @@
         let pool = Rc::clone(self);
         let task = async move {
             if !connection.reader.has_partial_response() {
-                with_deadline(Instant::now() + SETTLE_TIME, connection.stream.readable()).await;
+                with_deadline(Instant::now() + SETTLE_TIME, connection.stream.as_async().readable()).await;
             }
             pool.settling.set(pool.settling.get() - 1);
             if connection.is_quiet() {
--- a/crates/transport/src/member_pool/connection.rs
+++ b/crates/transport/src/member_pool/connection.rs
@@ -2,10 +2,11 @@
 
 use super::end_reason::{EndReason, ReadError};
 use super::{AttemptReport, MemberPool};
-use crate::{socket, with_deadline, ConnectionEnd, MemoryReservation, Remote};
-use async_io::Async;
+use crate::socket::peek;
+use crate::socket::stream::TcpConnection;
+use crate::{with_deadline, ConnectionEnd, MemoryReservation, Remote};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_protocol::member_request;
@@ -36,7 +37,7 @@
 
 /// An established connection to a member. Dropping it closes it, releases its place and reports its end.
 pub(super) struct MemberConnection {
-    pub(super) stream: Async<TcpStream>,
+    pub(super) stream: TcpConnection,
     pub(super) reader: ResponseReader,
     pub(super) peer: SocketAddr,
     pub(super) pool: Rc<MemberPool>,
@@ -68,7 +69,7 @@
     pub(super) fn new(
         pool: Rc<MemberPool>,
         peer: SocketAddr,
-        stream: Async<TcpStream>,
+        stream: TcpConnection,
         reader: ResponseReader,
     ) -> Self {
         pool.open.set(pool.open.get() + 1);
@@ -94,12 +95,12 @@
 
     /// Whether the member has neither closed the connection nor sent anything without a request.
     pub(super) fn is_quiet(&self) -> bool {
-        !self.reader.has_partial_response() && socket::is_quiet(self.stream.get_ref())
+        !self.reader.has_partial_response() && peek::is_quiet(self.stream.get_ref())
     }
 
     /// Whether the member has sent something that was not consumed yet.
     pub(super) fn has_unread_bytes(&self) -> bool {
-        self.reader.has_partial_response() || socket::has_unread_bytes(self.stream.get_ref())
+        self.reader.has_partial_response() || peek::has_unread_bytes(self.stream.get_ref())
     }
 
     /// Checks with an empty query whether the connection works.
--- a/crates/transport/src/member_pool/opening.rs
+++ b/crates/transport/src/member_pool/opening.rs
@@ -3,11 +3,11 @@
 use super::connection::MemberConnection;
 use super::end_reason::EndReason;
 use super::MemberPool;
+use crate::socket::open;
 use crate::{with_deadline, ConnectionEnd, Remote};
-use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_protocol::member_request;
@@ -134,7 +134,7 @@
 
     /// Connects and exchanges the startup messages.
     async fn connect(self: &Rc<Self>, peer: SocketAddr) -> Result<MemberConnection, ConnectError> {
-        let mut stream = Async::<TcpStream>::connect(peer).await?;
+        let mut stream = open::connect(peer).await?;
         let _ = stream.get_ref().set_nodelay(true);
         stream.write_all(&member_request::startup_message(USER, DATABASE)).await?;
         let mut reader = ResponseReader::default();
--- a/crates/transport/src/negative_cache.rs
+++ b/crates/transport/src/negative_cache.rs
@@ -5,8 +5,9 @@
 
 use super::worker::{self, RingReceiver, RingSender};
 use super::Now;
+use crate::socket::open;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
@@ -73,7 +74,7 @@
     mut outgoing: RingReceiver<PeerDatagram>,
     mut incoming: RingSender<PeerDatagram>,
 ) {
-    let Ok(socket) = Async::new(socket) else { return };
+    let Ok(socket) = open::register(&socket) else { return };
     let mut buffer = vec![0_u8; DATAGRAM_BUFFER_BYTES];
     loop {
         let receive = async {
--- a/crates/transport/src/rollout.rs
+++ b/crates/transport/src/rollout.rs
@@ -6,6 +6,7 @@
 mod atomic_file;
 mod files;
 
+use crate::socket::open;
 use crate::worker::{self, RingReceiver, RingSender};
 use async_io::{Async, Timer};
 use files::RolloutFiles;
@@ -65,7 +66,7 @@
     context.socket.set_nonblocking(true)?;
     let ledger = context.ledger_path.as_deref().and_then(|path| files::load_ledger(path, &context.log));
     worker::start("release", RING_CAPACITY, move |views, events| async move {
-        let Ok(socket) = Async::new(context.socket) else { return };
+        let Ok(socket) = open::register(&context.socket) else { return };
         let driver = Driver {
             service: make_service(ledger),
             socket,
--- a/crates/transport/src/signals.rs
+++ b/crates/transport/src/signals.rs
@@ -1,7 +1,9 @@
 //! The signals that ask the process to shut down or to reload its configuration.
 
+use crate::socket::transient::RESOURCE_RETRY_DELAY;
 use crate::ProxyEvent;
 use async_channel::Sender;
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
@@ -17,10 +19,15 @@
 
 /// Sends an event for each signal, until nobody receives them any more.
 pub async fn forward(mut signals: Signals, events: Sender<ProxyEvent>) {
-    while let Some(Ok(signal)) = signals.next().await {
+    while let Some(signal) = signals.next().await {
         let event = match signal {
-            Signal::Hup => ProxyEvent::ReloadRequested,
-            _ => ProxyEvent::ShutdownRequested,
+            Ok(Signal::Hup) => ProxyEvent::ReloadRequested,
+            Ok(_) => ProxyEvent::ShutdownRequested,
+            Err(_) => {
+                // The signal stays in the pipe: it is read again.
+                Timer::after(RESOURCE_RETRY_DELAY).await;
+                continue;
+            }
         };
         if events.send(event).await.is_err() {
             break;
--- a/tests/common/stand.rs
+++ b/tests/common/stand.rs
@@ -50,20 +50,29 @@
 
 /// A member of a role that answers as each statement wants (a row, where it says nothing), and counts the statements.
 pub fn member_as(role: &'static str) -> (String, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address").to_string();
     let asked = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&asked);
+    let observe = move |_: &str| {
+        count.fetch_add(1, Ordering::Relaxed);
+    };
+    (member_observed(role, observe), asked)
+}
+
+/// The same, with each statement that it is asked told to `observe` before it is answered; its address.
+pub fn member_observed(role: &'static str, observe: impl Fn(&str) + Send + Sync + 'static) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let observe = Arc::new(observe);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let count = Arc::clone(&count);
-            thread::spawn(move || serve(stream, role, &count));
+            let observe = Arc::clone(&observe);
+            thread::spawn(move || serve(stream, role, &*observe));
         }
     });
-    (address, asked)
+    address
 }
 
-fn serve(mut stream: TcpStream, role: &str, asked: &AtomicUsize) -> Option<()> {
+fn serve(mut stream: TcpStream, role: &str, observe: &dyn Fn(&str)) -> Option<()> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).ok()?;
     stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
@@ -82,7 +91,7 @@
         }
         let text = String::from_utf8_lossy(&text);
         if !text.starts_with("SHOW") {
-            asked.fetch_add(1, Ordering::Relaxed);
+            observe(&text);
         }
         let error = |code: &str| message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
         match text.split_once("SELECT ").map_or("", |(_, wish)| wish.trim_end_matches('\0')) {
@@ -135,6 +144,18 @@
         Self::start_set(folder, port, members, change, None)
     }
 
+    /// With these variables in its environment.
+    pub fn start_in(
+        folder: &Path,
+        port: u16,
+        members: &[(&str, &str)],
+        environment: &[(&str, &str)],
+    ) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfplank"));
+        command.envs(environment.iter().copied());
+        Self::spawn(folder, port, members, |config| config, command)
+    }
+
     /// With settings of the program's own.
     pub fn start_set(
         folder: &Path,
--- /dev/null
+++ b/tests/syscall_faults.rs
@@ -0,0 +1,177 @@
+//! System calls that fail for a moment, in all the ways that Linux documents: every request gets its final answer, no
+//! write runs twice, and the process ends in order.
+
+#[path = "common/stand.rs"]
+mod stand;
+#[path = "common/syscall_faults.rs"]
+mod syscall_faults;
+
+use rstest::rstest;
+use stand::{answer, free_port, member_observed, query, startup, Process, PATIENCE};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use syscall_faults::{injected, SyscallFaults};
+
+/// One call in so many fails while requests are served.
+const RATE: u32 = 20;
+/// While the process starts, so many calls of each kind fail first.
+const FIRST_CALLS_AT_START: u32 = 3;
+const CLIENTS: usize = 8;
+const REQUESTS_PER_CLIENT: usize = 60;
+/// Then a client opens another connection.
+const REQUESTS_PER_CONNECTION: usize = 6;
+
+/// How often each statement reached the member, by its request's id.
+type Runs = Arc<Mutex<BTreeMap<String, usize>>>;
+
+fn member(runs: &Runs) -> String {
+    let runs = Arc::clone(runs);
+    member_observed("primary", move |statement| {
+        let id = statement.split("id=").nth(1).and_then(|rest| rest.split(',').next());
+        *runs.lock().expect("no panic").entry(id.unwrap_or("").to_string()).or_default() += 1;
+    })
+}
+
+fn connect(port: u16) -> TcpStream {
+    let stream = TcpStream::connect(("127.0.0.1", port)).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.set_nodelay(true).expect("no delay");
+    stream
+}
+
+/// Sends requests of which every second is a write, and returns what each got; `None` for a request without an answer.
+fn run_client(port: u16, client: usize) -> Vec<Option<String>> {
+    let mut answers = Vec::new();
+    let mut connection = None;
+    for number in 0..REQUESTS_PER_CLIENT {
+        if number % REQUESTS_PER_CONNECTION == 0 {
+            connection = None;
+        }
+        let class = if number % 2 == 0 { "any" } else { "put" };
+        let request = query(&format!("/* id=r-{client}-{number},c={class},d=20000000,cluster=2 */ SELECT 1"));
+        let got = match &mut connection {
+            Some(stream) => send(stream, &request).and_then(|()| answer(stream)),
+            None => {
+                let mut stream = connect(port);
+                let got = send(&mut stream, &[startup(), request].concat())
+                    .and_then(|()| answer(&mut stream))
+                    .and_then(|_| answer(&mut stream));
+                connection = Some(stream);
+                got
+            }
+        };
+        if got.is_none() {
+            connection = None;
+        }
+        answers.push(got);
+    }
+    answers
+}
+
+fn send(stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
+    stream.write_all(bytes).ok()
+}
+
+/// What the clients of one run got.
+struct Outcome {
+    served: usize,
+    failed: usize,
+    unanswered: usize,
+}
+
+fn run_clients(port: u16) -> Outcome {
+    let clients: Vec<_> =
+        (0..CLIENTS).map(|client| thread::spawn(move || run_client(port, client))).collect();
+    let answers: Vec<Option<String>> =
+        clients.into_iter().flat_map(|client| client.join().expect("it ends")).collect();
+    let count = |is: &dyn Fn(Option<&str>) -> bool| answers.iter().filter(|got| is(got.as_deref())).count();
+    Outcome {
+        served: count(&|got| got == Some("TDCZ")),
+        failed: count(&|got| got.is_some_and(|tags| tags.contains('E'))),
+        unanswered: count(&|got| got.is_none()),
+    }
+}
+
+fn play(faults: &SyscallFaults) -> Outcome {
+    let folder = tempfile::tempdir().expect("a folder");
+    let runs = Runs::default();
+    let address = member(&runs);
+    let port = free_port();
+    let environment = faults.environment(folder.path(), port);
+    let environment: Vec<(&str, &str)> = environment.iter().map(|(name, value)| (*name, &**value)).collect();
+    let mut process = Process::start_in(folder.path(), port, &[("m1", &address)], &environment);
+    process.ready();
+    let outcome = run_clients(port);
+    assert!(injected(folder.path()) > 0, "no call failed: nothing was tested");
+    let twice: Vec<_> =
+        runs.lock().expect("no panic").clone().into_iter().filter(is_write_run_twice).collect();
+    assert!(twice.is_empty(), "writes that ran twice: {twice:?}");
+    process.terminate();
+    let ended = process.child.wait().ok().and_then(|status| status.code());
+    assert_eq!(ended, Some(0), "SIGTERM ends the process in order");
+    outcome
+}
+
+/// Every second request of a client is a write, by its number.
+fn is_write_run_twice((id, runs): &(String, usize)) -> bool {
+    let number: Option<usize> = id.rsplit('-').next().and_then(|number| number.parse().ok());
+    *runs > 1 && number.is_some_and(|number| number % 2 == 1)
+}
+
+/// Guards against interrupted and short calls that are taken for broken connections: they harm nothing, so every request
+/// is served.
+#[rstest]
+#[case::interrupted_reads("recv=EINTR")]
+#[case::short_reads("recv=short")]
+#[case::interrupted_writes("send=EINTR")]
+#[case::short_writes("send=short")]
+#[case::interrupted_accepts("accept=EINTR")]
+#[case::aborted_accepts("accept=ECONNABORTED,accept=EPROTO,accept=EPERM")]
+#[case::unreachable_accepts("accept=ENETUNREACH,accept=EHOSTUNREACH,accept=ETIMEDOUT")]
+#[case::reads_without_memory("recv=ENOMEM,recv=ENOBUFS")]
+#[case::writes_without_memory("send=ENOMEM,send=ENOBUFS")]
+#[case::accepts_without_memory("accept=ENOMEM,accept=ENOBUFS")]
+#[case::all(
+    "recv=EINTR,recv=short,recv=ENOMEM,send=EINTR,send=short,send=ENOBUFS,accept=EINTR,accept=ECONNABORTED"
+)]
+fn calls_that_fail_for_a_moment_lose_nothing(#[case] faults: &'static str, #[values(1, 2)] seed: u64) {
+    let outcome = play(&SyscallFaults { faults, rate: RATE, first: 0, seed });
+    assert_eq!(
+        outcome.served,
+        CLIENTS * REQUESTS_PER_CLIENT,
+        "unserved: {} failed, {} unanswered",
+        outcome.failed,
+        outcome.unanswered
+    );
+}
+
+/// Guards against a want of descriptors for a moment, or a broken connection to a member, that leaves a request without
+/// an answer.
+#[rstest]
+#[case::accepts_without_descriptors("accept=EMFILE,accept=ENFILE")]
+#[case::broken_reads_from_members(
+    "upstream_recv=ETIMEDOUT,upstream_recv=EHOSTUNREACH,upstream_recv=ECONNRESET"
+)]
+#[case::broken_writes_to_members(
+    "upstream_send=ETIMEDOUT,upstream_send=EHOSTUNREACH,upstream_send=ECONNRESET"
+)]
+fn calls_that_fail_get_a_final_answer(#[case] faults: &'static str, #[values(1, 2)] seed: u64) {
+    let outcome = play(&SyscallFaults { faults, rate: RATE, first: 0, seed });
+    assert_eq!(outcome.unanswered, 0, "served {}, failed {}", outcome.served, outcome.failed);
+}
+
+/// Guards against a process that does not start, since a socket could not be opened for a moment.
+#[rstest]
+#[case("socket=ENOMEM,socket=ENOBUFS,socket=EMFILE,socket=ENFILE")]
+#[case("bind=ENOMEM,bind=EADDRNOTAVAIL")]
+#[case("listen=ENOBUFS")]
+fn sockets_that_cannot_be_opened_for_a_moment_end_no_start(
+    #[case] faults: &'static str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let outcome = play(&SyscallFaults { faults, rate: 0, first: FIRST_CALLS_AT_START, seed });
+    assert_eq!(outcome.served, CLIENTS * REQUESTS_PER_CLIENT);
+}
