A wrong time of day makes no member in slow start look warm

Callers: a proxy that started while its machine's clock was ahead sent a member that had just started its full share, and the member may fall. With a clock behind the member stayed in slow start for as long as the clock was behind.

Cause: the age was our time of day less the listed start, which is on the other machines' clock. Evidence: with the clock an hour ahead the router sent 150 requests in a span in which 78 are allowed; an hour behind the age was -3,583 s.

Change: the router learns from log positions, which are times that have passed on the members' clock, by how much it is ahead at most, and takes ages by that clock. Time since the news of a start counts on the monotonic clock. So an age is never more than is proved, and slow start ends after its span.

Not mended: before the first position the router trusts its clock.

--- a/crates/routing/src/policy/attempts.rs
+++ b/crates/routing/src/policy/attempts.rs
@@ -115,6 +115,7 @@
 
     fn record_role_and_position(&mut self, finished: &FinishedAttempt) {
         let (now, result) = (self.now, finished.result);
+        self.member_clock.observe(result.position, now);
         let Some(member) = self.members.get_mut(&finished.host()) else { return };
         member.roles.observe(result.role, now);
         if result.role == Some(Role::Replica) || (finished.is_write && finished.is_served()) {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -18,6 +18,7 @@
 //! - [`membership`]: the endpoint list and what other routers observed.
 //! - [`probes`]: load reports.
 //! - [`outliers`]: faults, suspicion and trials.
+//! - [`member_clock`]: what time it is for the members.
 //! - [`slow_start`]: how much a member that is warming up may be sent.
 //!
 //! Parts without knowledge of the others: [`event_rate`], [`concurrency_limit`], [`load_shedder`],
@@ -30,6 +31,7 @@
 mod group;
 mod load_shedder;
 mod member;
+mod member_clock;
 mod membership;
 mod outliers;
 mod primary_discovery;
@@ -56,6 +58,7 @@
 use event_rate::EventRate;
 use group::Group;
 use member::{AttemptInFlight, Member};
+use member_clock::MemberClock;
 use request_work::RequestWork;
 use requests::PendingRequest;
 use sessions::SessionCommits;
@@ -96,6 +99,7 @@
     request_work: RequestWork,
     value_density: ValueDensity,
     warm_rate: WarmAnswerRate,
+    member_clock: MemberClock,
     /// Whether the endpoint list has arrived at least once.
     has_endpoint_list: bool,
     /// When the earliest timer that is set expires.
--- a/crates/routing/src/policy/probes.rs
+++ b/crates/routing/src/policy/probes.rs
@@ -40,6 +40,7 @@
     /// Learns from a load report about the member itself.
     fn record_load_report(&mut self, report: &ProbeResult) {
         let now = self.now;
+        self.member_clock.observe(report.position, now);
         let Some(member) = self.members.get_mut(&report.host) else { return };
         member.position.observe(report.position, now);
         member.queue.length = report.queued.unwrap_or(0.0);
--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -35,7 +35,10 @@
 /// A member's start, and the permits to send to it since. They count only while it may be warming up.
 #[derive(Default)]
 pub(super) struct SlowStart {
+    /// When the process started, on the members' clock.
     started_at: Option<Micros>,
+    /// When the router was notified of it.
+    notified_at: Micros,
     permits: SendPermits,
     last_sent_at: Option<Micros>,
     /// Nothing is sent before this time.
@@ -47,13 +50,22 @@
     /// Begins anew for a process that started at `started_at`. The first permit is issued at a point of the
     /// router's own, so that not all routers send at once.
     pub(super) fn restart(&mut self, started_at: Micros, phase: f64, overload_span: Micros, now: Micros) {
-        // What was sent between the start and this news counts against the member's budget as well.
-        let earlier = self.last_sent_at.filter(|sent_at| *sent_at > started_at);
+        // What was sent between the start and this news counts against the member's budget as well. A start in the
+        // future is one of another clock, and may have been before anything.
+        let earlier = self.last_sent_at.filter(|sent_at| *sent_at > started_at || started_at > now);
         self.held_until = earlier.map_or(now, |sent_at| sent_at + overload_span);
         self.started_at = Some(started_at);
+        self.notified_at = now;
         self.permits.restart(phase, now);
         self.sent = SlowStartSends::default();
     }
+
+    /// The least time since the process started, where `earliest_now` is the earliest time that it may be on the
+    /// members' clock; `None` if it started long ago.
+    fn least_age(&self, now: Micros, earliest_now: Micros) -> Option<Micros> {
+        let listed_age = earliest_now - self.started_at?;
+        Some(listed_age.max(now - self.notified_at))
+    }
 }
 
 /// What a warm member answers to this router, as it was last measured.
@@ -84,7 +96,7 @@
     pub(super) fn restart_slow_start(&mut self, host: HostId, started_at: Micros) {
         let phase = unit_interval(self.settings.seed, u64::from(host.0));
         let (span, now) = (self.overload_span(), self.now);
-        let ends_at = started_at.saturating_add(self.settings.slow_start_span);
+        let ends_at = started_at.max(now).saturating_add(self.settings.slow_start_span);
         self.warm_rate.needed_until = self.warm_rate.needed_until.max(ends_at);
         if let Some(member) = self.members.get_mut(&host) {
             member.slow_start.restart(started_at, phase, span, now);
@@ -144,11 +156,11 @@
     /// The members in slow start.
     pub fn slow_start_views(&self) -> impl Iterator<Item = SlowStartView> + '_ {
         self.members.iter().filter_map(|(host, member)| {
-            let started_at = member.slow_start.started_at?;
+            let age = self.least_age(member)?;
             let capacity = Some(self.least_capacity(member)).filter(|capacity| *capacity < 1.0)?;
             Some(SlowStartView {
                 host: *host,
-                age: self.now - started_at,
+                age,
                 capacity,
                 sends_per_second: self.permit_schedule(member).rate * 1e6,
                 sent: member.slow_start.sent,
@@ -178,10 +190,15 @@
         Some(self.settings.overload_span).filter(|span| *span > 0).unwrap_or(DEFAULT_OVERLOAD_SPAN)
     }
 
+    /// The least time since the member's process started; `None` if that was long ago.
+    fn least_age(&self, member: &Member) -> Option<Micros> {
+        member.slow_start.least_age(self.now, self.member_clock.earliest_now(self.now))
+    }
+
     /// The least part of its capacity that a member may have, by the time since its start.
     fn least_capacity(&self, member: &Member) -> f64 {
         let span = self.settings.slow_start_span.max(1) as f64;
-        let age = member.slow_start.started_at.map_or(span, |at| (self.now - at).max(0) as f64);
+        let age = self.least_age(member).map_or(span, |age| age as f64);
         1.0 - (1.0 - self.settings.slow_start_from) * (1.0 - age / span).max(0.0)
     }
 
