--- a/crates/routing/src/policy/member_clock.rs
+++ b/crates/routing/src/policy/member_clock.rs
@@ -1,5 +1,6 @@
 //! The clock of the members, as far as their log positions tell it. A router that started while its machine's
-//! clock was stepped has the wrong time of day, and must not compare it with the times at which members started.
+//! clock was stepped has the wrong time of day, which it must not compare with the times at which members
+//! started.
 
 use super::Micros;
 
