--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -171,8 +171,8 @@
         }
     }
 
-    /// Sets a timer for the next check, unless one that is set expires before it. A timer that was set for later
-    /// stays set, and is ignored when it expires.
+    /// Sets a timer for the next check, unless one that is set expires before it. A timer that was set for
+    /// later stays set, and is ignored when it expires.
     fn set_timer(&mut self) {
         let Some(check_at) = self.next_check_at() else { return };
         if self.timer_due.is_some_and(|due| due <= check_at) {
