--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -50,8 +50,8 @@
     /// Begins anew for a process that started at `started_at`. The first permit is issued at a point of the
     /// router's own, so that not all routers send at once.
     pub(super) fn restart(&mut self, started_at: Micros, phase: f64, overload_span: Micros, now: Micros) {
-        // What was sent between the start and this news counts against the member's budget as well. A start in
-        // the future is one of another clock, and may have been before anything.
+        // What was sent between the start and this news counts against the member's budget as well. A start
+        // in the future is one of another clock, and may have been before anything.
         let earlier = self.last_sent_at.filter(|sent_at| *sent_at > started_at || started_at > now);
         self.held_until = earlier.map_or(now, |sent_at| sent_at + overload_span);
         self.started_at = Some(started_at);
