--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -55,7 +55,7 @@
             connection = None;
         }
         let class = if number % 2 == 0 { "any" } else { "put" };
-        let request = query(&format!("/* id=r-{client}-{number},c={class},d=20000000,cluster=2 */ SELECT 1"));
+        let request = query(&format!("/* id=r-{client}-{number},c={class},d=10000,cluster=2 */ SELECT 1"));
         let got = match &mut connection {
             Some(stream) => send(stream, &request).and_then(|()| answer(stream)),
             None => {
