--- a/tests/common/stand.rs
+++ b/tests/common/stand.rs
@@ -144,7 +144,7 @@
         Self::start_set(folder, port, members, change, None)
     }
 
-    /// With these variables in its environment.
+    /// With these variables in its environment, and classes that want an answer within 10 s.
     pub fn start_in(
         folder: &Path,
         port: u16,
@@ -153,7 +153,8 @@
     ) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_wharfplank"));
         command.envs(environment.iter().copied());
-        Self::spawn(folder, port, members, |config| config, command)
+        let change = |config: String| config.replace("\"TargetUs\":900000000", "\"TargetUs\":10000000");
+        Self::spawn(folder, port, members, change, command)
     }
 
     /// With settings of the program's own.
