A session reads what it wrote at the process that was replaced

Callers: after a replacement under load a session's read was answered with data from before its own write.

Cause: where clients do not carry session tokens, the router remembers the commits of sessions, and the new process starts without them; the two count as one proxy.

Change: while there is another process of a handover, and once when it ends, the router is told that sessions may have committed there until now. Such reads need a member that has caught up, in practice the primary for the second or two of a replacement; nothing is added to the handover's protocol.

--- a/crates/proxy/src/broker/handover/peer.rs
+++ b/crates/proxy/src/broker/handover/peer.rs
@@ -72,6 +72,7 @@
 
     fn on_peer_lost(&mut self) {
         log::handover_step("the other is gone", 0);
+        self.note_sessions_of_peer(self.clock.now());
         let Some(handover) = &mut self.handover else { return };
         handover.link = None;
         let was_replaced = handover.state.is_predecessor();
--- a/crates/proxy/src/broker/handover/state.rs
+++ b/crates/proxy/src/broker/handover/state.rs
@@ -3,7 +3,7 @@
 use crate::broker::Broker;
 use wharfplank_admin::{ConnectionCounts, HandoverState, MemberKnowledge, MemberTraits};
 use wharfplank_protocol::endpoint_list::{self, EndpointList};
-use wharfplank_routing::{self as routing, MemberView, PeerObservation};
+use wharfplank_routing::{self as routing, MemberView, Micros, PeerObservation};
 
 impl Broker {
     /// Tells the router what the process before this one had learned of members.
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Tells the router that sessions may have written at the other process of a handover until now, if there is one.
+    /// The two are one proxy, and what a session wrote at one it reads at the other.
+    pub(in crate::broker) fn note_sessions_of_peer(&mut self, now: Micros) {
+        if self.handover.as_ref().is_some_and(|handover| handover.state.has_peer()) {
+            self.route(now, routing::Event::SessionsCommittedElsewhere(now));
+        }
+    }
+
     /// What the new process starts from: the endpoint list, the cordons, what is known of members, and the connections
     /// that this process holds.
     pub(super) fn handover_state(&self, holds: ConnectionCounts) -> HandoverState {
--- a/crates/proxy/src/broker/requests.rs
+++ b/crates/proxy/src/broker/requests.rs
@@ -104,6 +104,7 @@
         if self.answer_from_negative_cache(request.id, now, min_position_ms) {
             return;
         }
+        self.note_sessions_of_peer(now);
         // The age of the session's write counts from the very time that the router takes the request at:
         // a later one would ask for a position some microseconds past the commit.
         self.notify_router_at(now, routing::Event::Request(request));
--- a/crates/routing/src/api/events.rs
+++ b/crates/routing/src/api/events.rs
@@ -149,6 +149,9 @@
     /// The part, from 0 to 1, of the reads that members of each named zone may take, as the fleet decided in
     /// common; other zones take all. Writes, and reads that only the primary can serve, are not bound by it.
     ZoneReadShares(Vec<(u32, f64)>),
+    /// Sessions of this router may have committed writes elsewhere until this time, at the process that it replaces or
+    /// that replaces it. Counts only where clients do not carry session tokens.
+    SessionsCommittedElsewhere(Micros),
     /// What other routers, or this router's predecessor, observed of members.
     PeerObservations(Vec<PeerObservation>),
     /// All members that the fleet considers outliers, with the factor by which their latency is multiplied
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -156,6 +156,7 @@
             Event::StopSending => self.sending_stopped = true,
             Event::Shutdown => self.give_up_all(),
             Event::ZoneReadShares(shares) => self.zone_read_shares = Some(shares.into_iter().collect()),
+            Event::SessionsCommittedElsewhere(until) => self.session_commits.raise_floor(until),
             Event::PeerObservations(observations) => self.on_peer_observations(&observations),
             Event::LatencyFactors(factors) => self.latency_factors = factors.into_iter().collect(),
             Event::RetriesAllowed(allowed) => self.retries_barred = !allowed,
--- a/crates/routing/src/policy/sessions.rs
+++ b/crates/routing/src/policy/sessions.rs
@@ -10,7 +10,7 @@
 #[derive(Default)]
 pub(super) struct SessionCommits {
     latest: BTreeMap<SessionKey, Micros>,
-    /// The newest commit that was forgotten: any session may have made it.
+    /// The newest commit that is not remembered by session: any may have made it.
     floor: Option<Micros>,
 }
 
@@ -26,7 +26,12 @@
     /// The commit that a read of the session must see, if any.
     pub(super) fn required_by(&self, session: Option<SessionKey>) -> Option<Micros> {
         let own = session.and_then(|session| self.latest.get(&session).copied());
-        own.or(self.floor)
+        own.max(self.floor)
+    }
+
+    /// Any session may have committed until this time.
+    pub(super) fn raise_floor(&mut self, until: Micros) {
+        self.floor = self.floor.max(Some(until));
     }
 
     fn forget_older_half(&mut self) {
@@ -34,6 +39,6 @@
         times.sort_unstable();
         let floor = times[times.len() / 2];
         self.latest.retain(|_, at| *at > floor);
-        self.floor = Some(floor);
+        self.raise_floor(floor);
     }
 }
--- a/tests/handover_traits.rs
+++ b/tests/handover_traits.rs
@@ -83,3 +83,45 @@
     let asked = sends(&heir.ask(UNSAFE));
     assert_eq!(asked.iter().map(|s| s.1).collect::<Vec<_>>(), [HostId(2)]);
 }
+
+/// Guards against a read that does not see what its session wrote at the process before: where clients do not carry
+/// session tokens, the new process remembers no commit of it.
+#[test]
+fn a_session_reads_what_it_wrote_at_the_process_before() {
+    let kept = Settings { sessions_carry_tokens: false, stale_reads: StaleReadPolicy::Serve, ..settings() };
+    for is_told in [true, false] {
+        let mut heir = Bench::with(kept.clone(), vec![entry(1, true), entry(2, false), entry(3, false)]);
+        let replaced_at = heir.now;
+        if is_told {
+            heir.tell(Event::SessionsCommittedElsewhere(replaced_at));
+        }
+        heir.now += SECOND;
+        heir.probed(2, Role::Replica, replaced_at - SECOND);
+        heir.probed(3, Role::Replica, replaced_at - 1);
+        let hosts: Vec<HostId> = sends(&heir.ask(SESSION)).iter().map(|sent| sent.1).collect();
+        assert_eq!(hosts.contains(&HostId(1)) || hosts.is_empty(), is_told, "sent to {hosts:?}");
+        heir.probed(3, Role::Replica, replaced_at);
+        assert!(
+            sends(&heir.ask(SESSION)).iter().any(|sent| sent.1 == HostId(3)),
+            "a replica that has caught up"
+        );
+    }
+}
+
+/// Guards against a later commit that an earlier one, or one of another process, takes the place of.
+#[test]
+fn the_newest_commit_counts() {
+    let kept = Settings { sessions_carry_tokens: false, stale_reads: StaleReadPolicy::Serve, ..settings() };
+    for (own, elsewhere) in [(20_000, 10_000), (10_000, 20_000)] {
+        let mut bench = Bench::with(kept.clone(), vec![entry(1, true), entry(2, false)]);
+        let write = sends(&bench.ask(UNSAFE))[0];
+        bench.now += 50_000;
+        bench.end_at(write, 0, AttemptOutcome::Ok, Some(Role::Primary), Some(START + own));
+        bench.tell(Event::SessionsCommittedElsewhere(START + elsewhere));
+        for (position, is_fresh) in [(19_999, false), (20_000, true)] {
+            bench.probed(2, Role::Replica, START + position);
+            let to_replica = sends(&bench.ask(SESSION)).iter().any(|sent| sent.1 == HostId(2));
+            assert_eq!(to_replica, is_fresh, "own {own}, elsewhere {elsewhere}, position {position}");
+        }
+    }
+}
