A rollout command is neither lost nor repeated where its file cannot be read

Operators: a command whose file could not be read for a moment was lost, and one whose time could not be read counted as absent, so that the old command was carried out again at the next check. A status that could not be written stayed old.

Cause: the command counted as handled before it was read, every error as an absent file, and the status as written in any case.

Change: only NotFound is absent, a failed read makes the command new again, a failed status is written at the next check.

Measured: a_command_that_could_not_be_read_is_new_again, new; its call did not exist before. The other two are not tested.

--- a/crates/rollout/src/operator/signal_file.rs
+++ b/crates/rollout/src/operator/signal_file.rs
@@ -22,4 +22,9 @@
         let is_written = stamp.is_some_and(|(_, length)| length > 0);
         has_changed && !is_first_check && is_written
     }
+
+    /// The new command could not be read: it is new at the next check again.
+    pub fn on_read_failed(&mut self) {
+        self.last = None;
+    }
 }
--- a/crates/rollout/tests/signal_file.rs
+++ b/crates/rollout/tests/signal_file.rs
@@ -26,3 +26,15 @@
     without_file.has_new_command(None);
     assert!(without_file.has_new_command(at(4, 5)), "the first command of a file that did not exist");
 }
+
+/// Guards against a command that is lost, since the file could not be read for a moment.
+#[test]
+fn a_command_that_could_not_be_read_is_new_again() {
+    let at = |s: u64, length| Some((SystemTime::UNIX_EPOCH + Duration::from_secs(s), length));
+    let mut watcher = SignalFileWatcher::default();
+    assert!(!watcher.has_new_command(at(1, 5)), "what it held before the start is old");
+    assert!(watcher.has_new_command(at(2, 5)));
+    watcher.on_read_failed();
+    assert!(watcher.has_new_command(at(2, 5)), "it is read again");
+    assert!(!watcher.has_new_command(at(2, 5)), "it was read");
+}
--- a/crates/transport/src/rollout/files.rs
+++ b/crates/transport/src/rollout/files.rs
@@ -3,6 +3,7 @@
 use super::atomic_file::{read_bounded, replace, with_suffix, Durability};
 use super::RolloutLogEvent;
 use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 use wharfplank_rollout::{
@@ -102,18 +103,24 @@
         service: &mut RolloutService,
         log: &impl Fn(RolloutLogEvent<'_>),
     ) {
-        let metadata = fs::metadata(path).ok();
-        let stamp = metadata.and_then(|metadata| Some((metadata.modified().ok()?, metadata.len())));
+        // Where nothing can be learned of the file it is not taken for absent: its command would be new once more.
+        let stamp = match file_stamp(path) {
+            Ok(stamp) => stamp,
+            Err(error) => return log(RolloutLogEvent::FileFailed { path, error: &error }),
+        };
         if !self.signal_watcher.has_new_command(stamp) {
             return;
         }
         match read_bounded(path, MAX_SIGNAL_BYTES) {
             Ok(command) => service.on_command(unix_millis(), &String::from_utf8_lossy(&command)),
-            Err(error) => log(RolloutLogEvent::FileFailed { path, error: &error }),
+            Err(error) => {
+                self.signal_watcher.on_read_failed();
+                log(RolloutLogEvent::FileFailed { path, error: &error });
+            }
         }
     }
 
-    /// Writes the status beside the signal file where it changed. A status that could not be written is not tried again.
+    /// Writes the status beside the signal file where it changed. One that could not be written is tried again.
     fn write_status(
         &mut self,
         signal_path: &Path,
@@ -125,10 +132,19 @@
             return;
         }
         let path = with_suffix(signal_path, ".status");
-        if let Err(error) = replace(&path, status.as_bytes(), Durability::Buffered) {
-            log(RolloutLogEvent::FileFailed { path: &path, error: &error });
+        match replace(&path, status.as_bytes(), Durability::Buffered) {
+            Ok(()) => self.written_status = status,
+            Err(error) => log(RolloutLogEvent::FileFailed { path: &path, error: &error }),
         }
-        self.written_status = status;
+    }
+}
+
+/// When a file was written last and its length; `None` where there is no file.
+fn file_stamp(path: &Path) -> io::Result<Option<(SystemTime, u64)>> {
+    match fs::metadata(path) {
+        Ok(metadata) => Ok(Some((metadata.modified()?, metadata.len()))),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
     }
 }
 
