Tests print a failed process's log, its end and the error that ended a response

Cause: two of the known failures left no word: each proxy's standard error went to null, wait_for_exit gave None for a killed process and for one that still ran, and read_response gave None for a reset, an end and a time-out alike. Change: the log of each process goes to a file that is printed when its test fails; wait_for_exit prints the exit status, or the threads' wait channels and the number of sockets of a process that still runs; read_response prints the error. Returned values and all checks are as before.

--- a/tests/common/stand.rs
+++ b/tests/common/stand.rs
@@ -2,10 +2,12 @@
 #![allow(dead_code)]
 
 mod ports;
+mod process_state;
 
 pub use ports::free_port;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -31,18 +33,30 @@
 }
 
 /// Reads messages up to and with `ReadyForQuery` and returns their tags; `None` if the connection ends first.
+/// The error that ended it is printed, which a failing test shows.
 pub fn read_response(stream: &mut impl Read) -> Option<String> {
     let mut tags = String::new();
     while !tags.ends_with('Z') {
-        let mut head = [0; 5];
-        stream.read_exact(&mut head).ok()?;
-        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-        stream.read_exact(&mut vec![0; length - 4]).ok()?;
-        tags.push(char::from(head[0]));
+        match read_message_tag(stream) {
+            Ok(tag) => tags.push(tag),
+            Err(error) => {
+                eprintln!("response ended after the messages {tags:?}: {error} ({:?})", error.kind());
+                return None;
+            }
+        }
     }
     Some(tags)
 }
 
+/// Reads one message and returns its tag.
+fn read_message_tag(stream: &mut impl Read) -> io::Result<char> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head)?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    stream.read_exact(&mut vec![0; length - 4])?;
+    Ok(char::from(head[0]))
+}
+
 /// Starts a fake primary; returns its address and the count of the statements that it received.
 pub fn start_member() -> (String, Arc<AtomicUsize>) {
     start_member_with_role("primary")
@@ -115,11 +129,12 @@
     }
 }
 
-/// A proxy process, which is killed when dropped.
+/// A proxy process, which is killed when dropped. If the test has failed, its log is printed then.
 pub struct Process {
     pub child: Child,
     pub admin: String,
     config: PathBuf,
+    log: PathBuf,
 }
 
 impl Drop for Process {
@@ -127,6 +142,10 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        if thread::panicking() {
+            let text = std::fs::read_to_string(&self.log).unwrap_or_else(|error| error.to_string());
+            eprintln!("log of process {}:\n{text}", self.child.id());
+        }
     }
 }
 
@@ -225,8 +244,10 @@
             command.env_remove(name);
         }
         command.env("BALANCER_CONFIG", &path).env("TMPDIR", folder);
-        let child = command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().expect("the proxy starts");
-        Process { child, admin, config: path }
+        let log = path.with_extension("log");
+        let error_output = File::create(&log).expect("create the log");
+        let child = command.stdin(Stdio::null()).stderr(error_output).spawn().expect("the proxy starts");
+        Process { child, admin, config: path, log }
     }
 
     /// Sends an admin command and returns the response; `None` if the process does not listen yet.
@@ -253,14 +274,17 @@
     }
 
     /// Waits for the process to exit; returns its exit code, or `None` if it did not exit in time or died by
-    /// a signal.
+    /// a signal. Which of the two it was is printed, with the state of a process that still runs.
     pub fn wait_for_exit(&mut self, limit: Duration) -> Option<i32> {
         let deadline = Instant::now() + limit;
         loop {
             if let Some(status) = self.child.try_wait().expect("query the exit status") {
+                eprintln!("process {}: {status}", self.child.id());
                 return status.code();
             }
             if Instant::now() >= deadline {
+                let id = self.child.id();
+                eprintln!("process {id} still runs after {limit:?}:\n{}", process_state::describe(id));
                 return None;
             }
             thread::sleep(Duration::from_millis(10));
