Log each step of the shutdown with what is still open

Cause: a process that ended late after SIGTERM left no line that told which step it waited for. Change: one line each when the shutdown is requested, the listener closes, open requests are aborted, the event loop ends, gossip ends and everything has been dropped, with the open requests, streams and clients.

--- a/crates/proxy/src/broker/mod.rs
+++ b/crates/proxy/src/broker/mod.rs
@@ -170,7 +170,7 @@
             self.run_due_work();
             self.run_handover_timers();
             if self.can_exit() {
-                return;
+                return self.log_event_loop_end();
             }
         }
     }
--- a/crates/proxy/src/broker/shutdown.rs
+++ b/crates/proxy/src/broker/shutdown.rs
@@ -4,6 +4,7 @@
 use super::attempt_table::InFlightAttempt;
 use super::shutdown_timing::{abort_delay, CLOSE_LISTENER_AFTER, FINAL_WRITE_TIME};
 use super::Broker;
+use crate::log::{self, OpenWork, ShutdownStep};
 use wharfplank_routing::{self as routing, AttemptOutcome, Micros};
 use wharfplank_transport::member_pool::AttemptStage;
 
@@ -28,6 +29,7 @@
         let started_at = self.clock.now();
         let shutdown = Shutdown { started_at, is_listener_closed: false, has_aborted_requests: false };
         self.lifecycle.shutdown = Some(shutdown);
+        self.log_shutdown_step(ShutdownStep::Requested);
         self.recorder.record_shutdown();
         self.clients.begin_draining();
     }
@@ -50,6 +52,7 @@
         if let Some(shutdown) = &mut self.lifecycle.shutdown {
             shutdown.is_listener_closed = true;
         }
+        self.log_shutdown_step(ShutdownStep::ListenerClosed);
         self.negative_cache.shut_down();
         self.clients.stop_accepting();
         self.release_listener();
@@ -65,6 +68,7 @@
             // to be written.
             shutdown.started_at = now - delay;
         }
+        self.log_shutdown_step(ShutdownStep::RequestsAborted);
         self.notify_router(routing::Event::StopSending);
         let unsent = |attempt: &InFlightAttempt| {
             matches!(attempt.stage.get(), AttemptStage::Queued | AttemptStage::Writing)
@@ -76,6 +80,25 @@
         self.notify_router(routing::Event::Shutdown);
     }
 
+    fn log_shutdown_step(&self, step: ShutdownStep) {
+        log::shutdown_step(step, self.open_work());
+    }
+
+    fn open_work(&self) -> OpenWork {
+        OpenWork {
+            requests: self.requests.len(),
+            streams: self.streaming.len(),
+            clients: self.clients.open_connections(),
+        }
+    }
+
+    /// Logs the end of the event loop if it ends a shutdown.
+    pub(super) fn log_event_loop_end(&self) {
+        if self.lifecycle.is_shutting_down() {
+            self.log_shutdown_step(ShutdownStep::EventLoopEnded);
+        }
+    }
+
     /// Returns the time of the next shutdown step, if a shutdown is in progress.
     pub(super) fn next_shutdown_step(&self, now: Micros) -> Option<Micros> {
         let shutdown = self.lifecycle.shutdown.as_ref()?;
--- a/crates/proxy/src/broker/streaming.rs
+++ b/crates/proxy/src/broker/streaming.rs
@@ -41,6 +41,10 @@
         self.streams.is_empty()
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.streams.len()
+    }
+
     pub(super) fn contains(&self, key: AttemptKey) -> bool {
         self.streams.contains_key(&key)
     }
--- a/crates/proxy/src/log/mod.rs
+++ b/crates/proxy/src/log/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 mod requests;
 mod rollout;
+mod shutdown;
 mod slow_start;
 mod writer;
 
@@ -22,6 +23,7 @@
 };
 pub use requests::{activity_counts, connection_ended, request_unserved, UnservedRequest};
 pub use rollout::{describe_action, rollout_event, rollout_started};
+pub use shutdown::{shutdown_completion, shutdown_step, OpenWork, ShutdownStep};
 pub use slow_start::{slow_start, SlowStartStage};
 pub use writer::{start, LogError};
 
--- a/crates/proxy/src/startup/mod.rs
+++ b/crates/proxy/src/startup/mod.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::error::StartError;
+use crate::log::ShutdownStep;
 use crate::negative_cache_client::NegativeCacheClient;
 use crate::recording::DecisionRecorder;
 use crate::rollout::RolloutReporter;
@@ -43,7 +44,13 @@
 ///
 /// # Errors
 /// Returns an error if a socket, a thread or the recorder cannot be started. Nothing is served in that case.
-pub fn run(mut config: Config, settings: &Settings) -> Result<(), StartError> {
+pub fn run(config: Config, settings: &Settings) -> Result<(), StartError> {
+    start_and_serve(config, settings)?;
+    log::shutdown_completion(ShutdownStep::Finished);
+    Ok(())
+}
+
+fn start_and_serve(mut config: Config, settings: &Settings) -> Result<(), StartError> {
     let signals = signals::register().map_err(StartError::Signals)?;
     let client_socket = ClientSocket::open(&config)?;
     let (events, event_queue) = async_channel::bounded(EVENT_QUEUE);
@@ -84,6 +91,7 @@
         signals.cancel().await;
         if let Some(gossip_end) = gossip_end {
             finish_gossip(gossip_end).await;
+            log::shutdown_completion(ShutdownStep::GossipEnded);
         }
     }));
     Ok(())
