Fault library: look functions up once, so that a signal cannot deadlock the process

Seen: now and then a process of syscall_faults ended later than 3.7 s after SIGTERM, with no request open. Cause: the preloaded test library called dlsym on each send, read and clock reading. dlsym takes the loader's lock; the write of the signal handler called it too. A signal that interrupted a look-up between the lock's word and its owner left the lock taken for good, and every thread waited for it: a process that never ends. The program alone has no such call. Change: the library resolves its functions in its constructor. No check was changed.

--- a/tests/common/stand.rs
+++ b/tests/common/stand.rs
@@ -19,6 +19,9 @@
 /// Far longer than any step takes; only a failing test reaches it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The number of lines of a process's log that a failing test prints.
+const PRINTED_LOG_LINES: usize = 100;
+
 fn message(tag: u8, body: &[u8]) -> Vec<u8> {
     [&[tag][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
 }
@@ -144,7 +147,9 @@
         let _ = std::fs::remove_file(&self.config);
         if thread::panicking() {
             let text = std::fs::read_to_string(&self.log).unwrap_or_else(|error| error.to_string());
-            eprintln!("log of process {}:\n{text}", self.child.id());
+            let lines: Vec<&str> = text.lines().collect();
+            let last = &lines[lines.len().saturating_sub(PRINTED_LOG_LINES)..];
+            eprintln!("log of process {}:\n{}", self.child.id(), last.join("\n"));
         }
     }
 }
--- a/tests/fault_injection/syscall_faults.c
+++ b/tests/fault_injection/syscall_faults.c
@@ -13,8 +13,8 @@
  * SYSCALL_FAULTS_COUNT a file of 8 bytes that holds the count of injected faults.
  */
 #define _GNU_SOURCE
-#include <dlfcn.h>
 #include <arpa/inet.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdatomic.h>
@@ -54,6 +54,20 @@
 static _Atomic uint64_t state;
 static _Atomic uint64_t *injected;
 
+/*
+ * The functions of the C library. They are looked up once, before the program starts: dlsym takes the loader's lock, which
+ * a signal handler that interrupts another look-up would wait for without end.
+ */
+#define FORWARDED(apply) \
+    apply(recv) apply(send) apply(read) apply(write) apply(accept4) apply(socket) apply(bind) apply(listen) apply(clock_gettime)
+#define DECLARE(name) static __typeof__(&name) real_##name;
+#define RESOLVE(name)                                         \
+    real_##name = (__typeof__(&name))dlsym(RTLD_NEXT, #name); \
+    if (!real_##name) abort();
+#define REAL(name) real_##name
+
+FORWARDED(DECLARE)
+
 static void add_fault(const char *call, const char *fault) {
     for (int c = 0; c < CALLS; c++) {
         if (strcmp(call, CALL_NAMES[c]) != 0 || fault_count[c] == MAX_FAULTS) continue;
@@ -69,6 +83,7 @@
 }
 
 __attribute__((constructor)) static void configure(void) {
+    FORWARDED(RESOLVE)
     const char *list = getenv("SYSCALL_FAULTS"), *one_in = getenv("SYSCALL_FAULTS_RATE");
     const char *seed = getenv("SYSCALL_FAULTS_SEED"), *count = getenv("SYSCALL_FAULTS_COUNT");
     const char *first_calls = getenv("SYSCALL_FAULTS_FIRST"), *port = getenv("SYSCALL_FAULTS_PORT");
@@ -129,7 +144,6 @@
            ntohs(address.sin_port) != listener_port;
 }
 
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 /* Returns an error from the enclosing function if the call is to fail; reduces `length` for a short transfer. */
 #define INJECT(call, length)                      \
--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -7,6 +7,7 @@
 mod syscall_faults;
 
 use rstest::rstest;
+use rustix::process::{kill_process, Pid, Signal};
 use stand::{free_port, query, read_response, start_observed_member, startup, Process, TEST_TIMEOUT};
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -253,3 +254,34 @@
     assert_eq!(process.wait_for_exit(EARLIEST_KILL), Some(0), "clean exit before the earliest SIGKILL");
     assert!(injected_faults(folder.path()) > 0, "no wake-up failed: nothing was tested");
 }
+
+/// The number of SIGHUPs of a series, which one client loads the process beside.
+const SIGNALS: usize = 20_000;
+
+/// Guards against a fault injection library that deadlocks if a signal interrupts it: the process hung for
+/// good, and looked as if it ended late.
+#[test]
+fn a_series_of_signals_does_not_hang_the_process() {
+    let _guard = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let faults = SyscallFaults { faults: "accept=ENOMEM", rate: RATE, ..SyscallFaults::default() };
+    let folder = tempfile::tempdir().expect("temporary directory");
+    let port = free_port();
+    let environment = faults.environment(folder.path(), port);
+    let environment: Vec<(&str, &str)> = environment.iter().map(|(name, value)| (*name, &**value)).collect();
+    let address = start_counting_member(&StatementCounts::default());
+    let mut process =
+        Process::start_with_environment(folder.path(), port, &[("m1", &address)], &environment, |config| {
+            config
+        });
+    process.wait_until_ready();
+    let client = thread::spawn(move || run_client(port, 0, SHORT_DEADLINE_MS));
+    let id = Pid::from_child(&process.child);
+    for _ in 0..SIGNALS {
+        kill_process(id, Signal::HUP).expect("the process runs");
+        thread::sleep(Duration::from_micros(100));
+    }
+    let answers = client.join().expect("the thread ends");
+    assert!(answers.iter().all(Option::is_some), "unanswered requests: {answers:?}");
+    process.terminate();
+    assert_eq!(process.wait_for_exit(EARLIEST_KILL), Some(0), "clean exit before the earliest SIGKILL");
+}
