Listen only when everything that can fail at the start has been started

Seen: callers of a process that could not start (its admin, gossip, budgets, negative cache or rollout address in use) were accepted and then reset without an answer. Cause: startup listened on the clients' address first; all the rest, any of which can fail, came after it. Change: sockets are bound first, by the library socket2, and listen last, so an address in use is still found before anything is started, and a connection is refused until the process can serve.

--- a/crates/proxy/src/startup/mod.rs
+++ b/crates/proxy/src/startup/mod.rs
@@ -14,9 +14,11 @@
 use crate::{budgets, gossip, log};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
+use async_io::Async;
 use descriptors::connection_limits;
-use sockets::{AdminSocket, ClientSocket};
+use sockets::{AdminSocket, ClientSocket, ListeningSocket};
 use std::cell::Cell;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 use wharfplank_admin::{ConnectionCounts, Metrics};
@@ -52,10 +54,10 @@
 
 fn start_and_serve(mut config: Config, settings: &Settings) -> Result<(), StartError> {
     let signals = signals::register().map_err(StartError::Signals)?;
+    let admin_socket = AdminSocket::open(&config)?;
     let client_socket = ClientSocket::open(&config)?;
     let (events, event_queue) = async_channel::bounded(EVENT_QUEUE);
     let context = Context::new(settings, events);
-    let admin_socket = AdminSocket::open(&config)?;
     config.initial_endpoints = client_socket.inherited_endpoints().unwrap_or(config.initial_endpoints);
 
     let limits = connection_limits(config.max_descriptors, admin_socket.is_some());
@@ -77,8 +79,10 @@
     context.start_negative_cache(&config, &mut broker)?;
     context.start_rollout(&config, &mut broker)?;
 
-    let admin_calls = context.serve_admin(admin_socket);
-    let ClientSocket { listener, handover_path, inherited } = client_socket;
+    // Clients are accepted from here on, so nothing after this may fail.
+    let admin_listener = admin_socket.map(AdminSocket::listen).transpose()?;
+    let ListeningSocket { listener, handover_path, inherited } = client_socket.listen()?;
+    let admin_calls = context.serve_admin(admin_listener);
     if let Some(path) = handover_path {
         broker.enable_handover(path, Rc::clone(&listener), limits, inherited);
     }
@@ -217,12 +221,14 @@
     }
 
     /// Serves operators if there is a socket for them, and returns the queue of their calls.
-    fn serve_admin(&self, socket: Option<AdminSocket>) -> Receiver<AdminCall> {
+    fn serve_admin(&self, listener: Option<Async<TcpListener>>) -> Receiver<AdminCall> {
         let (calls, queue) = async_channel::bounded(ADMIN_QUEUE);
-        if let Some(socket) = socket {
-            log::admin_listening(socket.local_address());
+        if let Some(listener) = listener {
+            if let Ok(address) = listener.get_ref().local_addr() {
+                log::admin_listening(address);
+            }
             let admin = AdminListener::new(Rc::clone(&self.executor), calls);
-            self.executor.spawn(admin.accept_connections(socket.listener)).detach();
+            self.executor.spawn(admin.accept_connections(listener)).detach();
         }
         queue
     }
--- a/crates/transport/src/handover.rs
+++ b/crates/transport/src/handover.rs
@@ -6,18 +6,15 @@
 //!
 //! - `descriptor`: passes the listening socket between processes.
 //! - `link`: the exchange of messages.
-//! - `listener`: creates listening sockets.
 //! - `rendezvous`: the socket on which a running process accepts handover requests.
 //! - `request`: the new process's side of the handover.
 
 mod descriptor;
 mod link;
-mod listener;
 mod rendezvous;
 mod request;
 
 pub use link::{reject, HandoverLink};
-pub use listener::{listen, listen_shared};
 pub use rendezvous::{socket_path, RendezvousSocket};
 pub use request::{request, HandoverError, Inherited};
 
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -3,9 +3,11 @@
 //! - [`transient`]: classifies errors as transient or final. Every read, write, accept, connect and bind of
 //!   the program uses it.
 //! - [`stream`]: connections that retry reads and writes.
-//! - [`open`]: connects, accepts and binds sockets.
+//! - [`open`]: connects and accepts connections, and binds datagram sockets.
+//! - [`listener`]: binds listening sockets.
 //! - [`peek`]: inspects a socket without consuming input.
 
+pub mod listener;
 pub mod open;
 pub(crate) mod peek;
 pub mod stream;
