Budgets of tenants are in force: all budgets with a limit are registered at the start

Seen: a tenant with a budget of 5 requests a second got 60 of 60 at once; its budget limited nothing. Cause: the lease holder treats a budget that is not registered as not limited, and the start registered those of all requests, retries and discovery calls but no tenant's. No test had a tenant whose budget was below the whole. Change: every budget that has a limit of its own is registered, before any member's.

--- a/crates/budget/src/limits.rs
+++ b/crates/budget/src/limits.rs
@@ -29,6 +29,11 @@
         self.by_budget.get(&budget).or_else(|| self.by_kind.get(&BudgetKind::of(budget)?)).copied()
     }
 
+    /// Returns the budgets that have a limit of their own.
+    pub fn budgets(&self) -> impl Iterator<Item = BudgetId> + '_ {
+        self.by_budget.keys().copied()
+    }
+
     /// Returns the static quota of each proxy: `percent` per cent of every limit, divided equally by
     /// `proxies`. A proxy has it whether or not allocators answer and however many proxies are running.
     pub fn static_quota(&self, percent: u64, proxies: u64) -> BudgetLimits {
--- a/crates/transport/src/budgets/mod.rs
+++ b/crates/transport/src/budgets/mod.rs
@@ -76,8 +76,9 @@
     let run = move |requests, updates| worker.run(requests, updates);
     let (requests, updates) = worker::start("budgets", RING_CAPACITY, run)?;
     let budgets = Rc::new(Budgets::new(config.limits, config.holder, config.now, config.traces_usage));
-    for kind in [BudgetKind::Requests, BudgetKind::Retries, BudgetKind::DiscoveryCalls] {
-        budgets.register(kind.budget(0));
+    // These come before any member's, so that members cannot take their places in the table.
+    for budget in budgets.limits.budgets() {
+        budgets.register(budget);
     }
     let driver = LeaseDriver::new(Rc::clone(&budgets), requests, updates, config.log);
     executor.spawn(driver.run()).detach();
