Budgets beyond the lease holder's table share the static quota of their kind

Seen: with more than 4,096 budgets (three a member) probes of and connections to further members had no limit, and no log line said so. Cause: a full table refused a registration silently, and a budget that is not registered was treated as one without a limit. Change: budgets with a limit but no place share one limiter a kind with the static quota of one of them, which needs no lease, so the fleet's sum stays within the limit; budget_table_full in the log counts the refusals.

--- a/crates/budget/src/lease_holder.rs
+++ b/crates/budget/src/lease_holder.rs
@@ -1,5 +1,6 @@
 //! The lease holder at one proxy: its leases, its limiters, and when it sends requests to which allocator.
 
+use crate::overflow::OverflowBudgets;
 use crate::request_schedule::RequestSchedule;
 use crate::{
     BudgetAmount, BudgetId, BudgetKind, BudgetLimits, ConcurrencyBudget, GrantEffect, HolderId, LeaseGrant,
@@ -11,7 +12,7 @@
 /// once a second and then needs some time to close them.
 const OVERDUE_LEAD: Micros = 1_500_000;
 /// The maximum number of budgets of one proxy, such as those of its members. It keeps a request within one
-/// datagram. Further budgets are not registered, and therefore not limited.
+/// datagram. Further budgets get no leases: those of a kind share the static quota of one of them.
 pub const MAX_BUDGETS: usize = 4_096;
 
 /// The units of a concurrency budget in use above its quota.
@@ -32,6 +33,8 @@
     static_quotas: BudgetLimits,
     rate_limiters: BTreeMap<BudgetId, RateLimiter>,
     concurrency_budgets: BTreeMap<BudgetId, ConcurrencyBudget>,
+    /// The budgets beyond [`MAX_BUDGETS`].
+    overflow: OverflowBudgets,
     schedule: RequestSchedule,
     /// Determines at which allocator this proxy starts to distribute the remainder of a demand that cannot
     /// be divided evenly.
@@ -54,6 +57,7 @@
             static_quotas: BudgetLimits::default(),
             rate_limiters: budgets.into_iter().map(|budget| (budget, RateLimiter::new(now))).collect(),
             concurrency_budgets: BTreeMap::new(),
+            overflow: OverflowBudgets::default(),
             remainder_offset: holder >> 16 ^ holder,
         }
     }
@@ -66,11 +70,12 @@
     /// Registers a budget. Nothing may be spent in its first second, because the previous process of this
     /// proxy may have spent the quota until now.
     pub fn register(&mut self, now: Micros, budget: BudgetId) {
-        if self.is_registered(budget)
-            || self.rate_limiters.len() + self.concurrency_budgets.len() >= MAX_BUDGETS
-        {
+        if self.is_registered(budget) {
             return;
         }
+        if self.rate_limiters.len() + self.concurrency_budgets.len() >= MAX_BUDGETS {
+            return self.overflow.record_refusal();
+        }
         if BudgetKind::is_concurrency(budget) {
             let concurrency = ConcurrencyBudget::new(self.static_quota(budget), self.leases.allocators());
             self.concurrency_budgets.insert(budget, concurrency);
@@ -84,6 +89,11 @@
         self.rate_limiters.contains_key(&budget) || self.concurrency_budgets.contains_key(&budget)
     }
 
+    /// Returns the number of registrations that found the table full.
+    pub fn refused_registrations(&self) -> u64 {
+        self.overflow.refused()
+    }
+
     fn static_quota(&self, budget: BudgetId) -> u64 {
         self.static_quotas.get(budget).unwrap_or(0)
     }
@@ -174,10 +184,15 @@
         }
     }
 
-    /// Spends a unit of a budget if its quota permits it. A budget that is not registered is not limited.
+    /// Spends a unit of a budget if its quota permits it. A budget without a limit is not limited; one with a
+    /// limit that is not registered shares the static quota of its kind.
     pub fn try_spend(&mut self, now: Micros, budget: BudgetId) -> bool {
         let quota = self.quota(now, budget);
-        self.rate_limiters.get_mut(&budget).is_none_or(|limiter| limiter.try_spend(now, quota))
+        if let Some(limiter) = self.rate_limiters.get_mut(&budget) {
+            return limiter.try_spend(now, quota);
+        }
+        let static_quota = self.static_quotas.get(budget);
+        static_quota.is_none_or(|quota| self.overflow.try_spend(now, budget, quota))
     }
 
     /// Spends one unit of each budget, or of none of them. Every budget records the attempt, and those
@@ -197,21 +212,30 @@
     /// Returns whether a unit could be spent now, without spending it.
     pub fn can_spend(&mut self, now: Micros, budget: BudgetId) -> bool {
         let quota = self.quota(now, budget);
-        self.rate_limiters.get_mut(&budget).is_none_or(|limiter| limiter.can_spend(now, quota))
+        if let Some(limiter) = self.rate_limiters.get_mut(&budget) {
+            return limiter.can_spend(now, quota);
+        }
+        let static_quota = self.static_quotas.get(budget);
+        static_quota.is_none_or(|quota| self.overflow.can_spend(now, budget, quota))
     }
 
-    /// Acquires a unit of a concurrency budget if its quota permits it. A budget that is not registered is
-    /// not limited.
+    /// Acquires a unit of a concurrency budget if its quota permits it. Budgets that are not registered are
+    /// treated as by [`LeaseHolder::try_spend`].
     pub fn try_acquire(&mut self, now: Micros, budget: BudgetId) -> bool {
         let quotas = self.leases.allocator_quotas(now, budget);
-        self.concurrency_budgets.get_mut(&budget).is_none_or(|concurrency| {
+        if let Some(concurrency) = self.concurrency_budgets.get_mut(&budget) {
             concurrency.set_quotas(&quotas);
-            concurrency.try_acquire(now)
-        })
+            return concurrency.try_acquire(now);
+        }
+        let static_quota = self.static_quotas.get(budget);
+        static_quota.is_none_or(|quota| self.overflow.try_acquire(budget, quota))
     }
 
     /// Releases a unit of a concurrency budget.
     pub fn release(&mut self, budget: BudgetId) {
+        if self.overflow.release(budget) {
+            return;
+        }
         if let Some(concurrency) = self.concurrency_budgets.get_mut(&budget) {
             concurrency.release();
         }
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -49,6 +49,7 @@
 mod lease_table;
 mod limits;
 mod messages;
+mod overflow;
 mod rate_limiter;
 mod request_schedule;
 mod takeover;
--- a/crates/proxy/src/log/budgets.rs
+++ b/crates/proxy/src/log/budgets.rs
@@ -1,7 +1,7 @@
 //! Log lines of the fleet's budgets.
 
 use std::net::SocketAddrV4;
-use tracing::{debug, error, info};
+use tracing::{debug, error, info, warn};
 use wharfplank_routing::Micros;
 use wharfplank_transport::budgets::{BudgetLogEvent, BudgetUsage};
 
@@ -35,6 +35,9 @@
         }
         BudgetLogEvent::Spent(what) => debug!(ahead_us = skew, what, "budget_spent"),
         BudgetLogEvent::InUse(what) => debug!(ahead_us = skew, what, "budget_held"),
+        BudgetLogEvent::TableFull { refused, places } => {
+            warn!(refused, places = places as u64, kept = "static_quota", "budget_table_full");
+        }
         BudgetLogEvent::WorkerEnded => error!("budgets_ended"),
     }
 }
--- a/crates/transport/src/budgets/lease_driver.rs
+++ b/crates/transport/src/budgets/lease_driver.rs
@@ -7,7 +7,7 @@
 use futures_lite::future;
 use std::rc::Rc;
 use std::time::Duration;
-use wharfplank_budget::{BudgetKind, LeaseGrant, Micros};
+use wharfplank_budget::{BudgetKind, LeaseGrant, Micros, MAX_BUDGETS};
 
 /// The interval at which the usage is logged.
 const USAGE_LOG_INTERVAL: Micros = 5_000_000;
@@ -127,6 +127,10 @@
             reachable_allocators: holder.reachable_allocators(now),
             worker: *worker_status,
         });
+        if holder.refused_registrations() > 0 {
+            let refused = holder.refused_registrations();
+            (self.log)(BudgetLogEvent::TableFull { refused, places: MAX_BUDGETS });
+        }
         for kind in BudgetKind::ALL {
             if let Some(usage) = BudgetUsage::of(holder, now, kind) {
                 (self.log)(BudgetLogEvent::Usage(kind, usage));
--- a/crates/transport/src/budgets/log.rs
+++ b/crates/transport/src/budgets/log.rs
@@ -31,6 +31,13 @@
     Spent(&'a str),
     /// The changes of the number in use, as `number@time=count,...`.
     InUse(&'a str),
+    /// The table of budgets is full: further budgets share the static quota of one of their kind.
+    TableFull {
+        /// The number of registrations that found no place.
+        refused: u64,
+        /// The number of places.
+        places: usize,
+    },
     /// The worker has ended.
     WorkerEnded,
 }
