Log what proxies observe of a member that is in question

Cause: when a slow member was not named, no line told whether observations were missing or too weak. Change: member_observation at level debug, with this proxy's own score and samples and the fleet's score and observers, for members in question or seen as slow. It uses the observations that are computed for publishing anyway.

--- a/crates/health/src/monitor.rs
+++ b/crates/health/src/monitor.rs
@@ -28,6 +28,8 @@
     log: ObservationLog,
     detector: OutlierDetector,
     published: BTreeMap<u64, Published>,
+    /// This proxy's own observations, as last computed.
+    own_observations: BTreeMap<u64, HealthObservation>,
 }
 
 impl HealthMonitor {
@@ -37,6 +39,7 @@
             log: ObservationLog::default(),
             detector: OutlierDetector::new(proxy),
             published: BTreeMap::new(),
+            own_observations: BTreeMap::new(),
         }
     }
 
@@ -73,7 +76,8 @@
     /// reporter observed them as bad. Nothing is published about members without evidence against them.
     pub fn take_observations(&mut self, now: Micros) -> Vec<(u64, HealthObservation)> {
         let mut due = Vec::new();
-        for (member, observation) in self.log.observations(now) {
+        let observations = self.log.observations(now);
+        for (&member, &observation) in &observations {
             let is_of_interest = observation.is_questionable() || self.detector.is_in_question(member);
             if !is_of_interest || !self.detector.is_reporter_of(member) {
                 continue;
@@ -84,6 +88,7 @@
                 due.push((member, observation));
             }
         }
+        self.own_observations = observations;
         due
     }
 
@@ -110,6 +115,11 @@
         self.detector.latency_factors()
     }
 
+    /// Returns this proxy's own observations, as of the last [`HealthMonitor::take_observations`].
+    pub fn own_observations(&self) -> &BTreeMap<u64, HealthObservation> {
+        &self.own_observations
+    }
+
     /// Returns this proxy's own summaries of the members.
     pub fn log(&self) -> &ObservationLog {
         &self.log
--- a/crates/proxy/src/log/gossip.rs
+++ b/crates/proxy/src/log/gossip.rs
@@ -2,9 +2,10 @@
 
 use crate::gossip::FleetCounter;
 use std::net::SocketAddrV4;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 use wharfplank_failover::ZoneState;
 use wharfplank_gossip::MembershipEvent;
+use wharfplank_health::HealthObservation;
 use wharfplank_transport::gossip::GossipLogEvent;
 
 /// Logs that the gossip socket is bound; other proxies send to `advertise`.
@@ -54,6 +55,18 @@
             let (verdict, score) = (verdict.as_str(), score.as_str());
             info!(name, verdict, score, observers = observers as u64, "member_health");
         }
+        GossipLogEvent::MemberObserved { name, own, score, observers } => {
+            let own_score = format!("{:.2}", own.map_or(0.0, HealthObservation::score));
+            let score = score.map_or_else(|| "-".to_string(), |score| format!("{score:.2}"));
+            debug!(
+                name,
+                own_score = own_score.as_str(),
+                samples = own.map_or(0, |own| u64::from(own.samples)),
+                score = score.as_str(),
+                observers = observers as u64,
+                "member_observation"
+            );
+        }
         GossipLogEvent::SharedStateChanged(state) => {
             let (store, stats) = (state.store(), state.stats);
             let digest = format!("{:016x}", store.digest());
--- a/crates/transport/src/gossip/health.rs
+++ b/crates/transport/src/gossip/health.rs
@@ -10,6 +10,9 @@
 use wharfplank_routing::Micros;
 use wharfplank_shared_state::hash_name;
 
+/// The score from which this proxy's own observation of a member is logged.
+const LOGGED_SCORE: f64 = 0.2;
+
 /// The health monitor, with the members' names for the log. Its size is bounded by the members that the
 /// monitor tracks and the broker retains.
 pub struct HealthEvaluator {
@@ -68,6 +71,19 @@
         }
     }
 
+    /// Logs the members that are in question, and those that this proxy observed as worse than others.
+    fn log_observations(&self, log: LogGossip) {
+        let detector = self.monitor.detector();
+        for (member, name) in &self.member_names {
+            let own = self.monitor.own_observations().get(member);
+            let is_noteworthy = own.is_some_and(|own| own.score() >= LOGGED_SCORE);
+            if is_noteworthy || detector.is_in_question(*member) {
+                let MemberScore { score, reports: observers } = detector.score(*member);
+                log(GossipLogEvent::MemberObserved { name, own, score, observers });
+            }
+        }
+    }
+
     /// Returns the latency factors if they have changed since they were last returned.
     fn take_changed_factors(&mut self) -> Option<Vec<(u64, f64)>> {
         let factors = self.monitor.latency_factors();
@@ -99,6 +115,7 @@
             shared_state.record_health(now, member, peer_key(local_peer.addr), observation);
         }
         evaluator.monitor.evaluate(now, shared_state.health_observations());
+        evaluator.log_observations(worker.log);
         evaluator.log_changed_verdicts(worker.log);
         if let Some(factors) = evaluator.take_changed_factors() {
             self.updates.send(GossipUpdate::MemberFactors(factors));
--- a/crates/transport/src/gossip/log.rs
+++ b/crates/transport/src/gossip/log.rs
@@ -2,7 +2,7 @@
 
 use wharfplank_failover::ZoneState;
 use wharfplank_gossip::{Membership, MembershipEvent, Peer};
-use wharfplank_health::Verdict;
+use wharfplank_health::{HealthObservation, Verdict};
 use wharfplank_shared_state::SharedState;
 
 /// An event for the log.
@@ -49,4 +49,15 @@
         /// The number of proxies whose observations were counted.
         observers: usize,
     },
+    /// This proxy observed a member as worse than others, or the fleet has it in question.
+    MemberObserved {
+        /// The member's name.
+        name: &'a str,
+        /// This proxy's own observation; `None` if it has too few samples.
+        own: Option<&'a HealthObservation>,
+        /// See [`GossipLogEvent::MemberHealthChanged`].
+        score: Option<f64>,
+        /// See [`GossipLogEvent::MemberHealthChanged`].
+        observers: usize,
+    },
 }
