One backlog for all listening sockets

Seen: a listener that may be replaced queued 1,024 connections where others queued 4,096, so a burst during a hand-over lost clients that would be accepted at any other time. Cause: two constants for the same thing.

--- a/crates/transport/src/client_listener.rs
+++ b/crates/transport/src/client_listener.rs
@@ -7,6 +7,7 @@
 pub(crate) use connection_state::ConnectionState;
 
 use crate::client_connection::{CancelKeys, ClientConnection, CloseReason, ResponseWriter};
+use crate::socket::listener::BACKLOG;
 use crate::socket::stream::TcpConnection;
 use crate::socket::{open, transient};
 use crate::{ConnectionEnd, ConnectionEndObserver, MemoryBudget, ProxyEvent, Remote};
@@ -23,9 +24,6 @@
 use std::time::{Duration, Instant};
 use wharfplank_protocol::client_session::ProtocolViolation;
 
-/// The maximum number of connections that the operating system queues for the listener, and therefore of
-/// those that are accepted when it closes.
-const BACKLOG: usize = 4096;
 /// The delay before the next accept after one failed because a resource was exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The error sent to clients when the connection limit is reached.
--- a/crates/transport/src/socket/listener.rs
+++ b/crates/transport/src/socket/listener.rs
@@ -6,8 +6,9 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
-/// The maximum number of connections that the operating system queues for a listener.
-const BACKLOG: i32 = 1024;
+/// The maximum number of connections that the operating system queues for a listener, and therefore of those
+/// that are accepted when it closes.
+pub const BACKLOG: usize = 4096;
 
 /// Whether several processes may listen on an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +39,7 @@
     ///
     /// Returns the first error that is not transient, or the last error when the time limit passes.
     pub fn listen(self) -> io::Result<Async<TcpListener>> {
-        retry_at_start(|| self.0.listen(BACKLOG))?;
+        retry_at_start(|| self.0.listen(BACKLOG as i32))?;
         Async::new(TcpListener::from(self.0))
     }
 }
--- a/crates/transport/tests/listen_backlog.rs
+++ b/crates/transport/tests/listen_backlog.rs
@@ -6,7 +6,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 use wharfplank_transport::client_listener::ClientListener;
+use wharfplank_transport::socket::listener::{AddressUse, BoundSocket};
 use wharfplank_transport::{ConnectionEnd, ConnectionEndObserver, MemoryBudget, ProxyEvent};
 
 /// Returns a listening socket with `connections` queued connections, and the clients.
@@ -82,3 +84,23 @@
     assert!(peak <= 2 * MAX_CONNECTIONS, "{peak} connections were open at the same time");
     listener_slot.borrow_mut().take();
 }
+
+/// Returns how many of a burst of connections a socket queues that nobody accepts from.
+fn queued_connections(address_use: AddressUse, burst: usize) -> usize {
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+    let socket = BoundSocket::bind(([127, 0, 0, 1], 0).into(), address_use).unwrap();
+    let socket = socket.listen().unwrap();
+    let address = socket.get_ref().local_addr().unwrap();
+    // A connection stays in the queue after its client has closed it.
+    let connects = (0..burst).map(|_| TcpStream::connect_timeout(&address, CONNECT_TIMEOUT));
+    connects.take_while(Result::is_ok).count()
+}
+
+/// Guards against a listener that may be replaced and refuses a burst of connections that another one would
+/// queue.
+#[test]
+fn a_shared_address_queues_as_many_connections_as_an_exclusive_one() {
+    const BURST: usize = 2_000;
+    assert_eq!(queued_connections(AddressUse::Exclusive, BURST), BURST);
+    assert_eq!(queued_connections(AddressUse::Shared, BURST), BURST);
+}
