Tests: shared files named for what they hold; fake members and messages in files of their own

Change: proxy_process, running_proxy, scripted_server and rule_checker; fake_member and messages taken out of the first. No check, bound or expectation is touched.

--- a/tests/attempt_unsent.rs
+++ b/tests/attempt_unsent.rs
@@ -1,9 +1,9 @@
 //! Attempts that are cancelled before any of their bytes is written: no member has received or executed them.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
-use stand::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
+use proxy_process::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
--- a/tests/budget_limits.rs
+++ b/tests/budget_limits.rs
@@ -1,9 +1,9 @@
 //! Budgets of the settings that a process without lease allocators enforces by its static quota.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
-use stand::{free_port, request_once, start_member, Process};
+use proxy_process::{free_port, request_once, start_member, Process};
 use std::thread;
 use std::time::{Duration, Instant};
 
--- a/tests/clock_step.rs
+++ b/tests/clock_step.rs
@@ -1,12 +1,12 @@
 //! A wall clock that is stepped before the process starts or while it runs: requests are served as usual.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 #[path = "common/syscall_faults.rs"]
 mod syscall_faults;
 
+use proxy_process::{free_port, request_once, start_member, Process};
 use rstest::rstest;
-use stand::{free_port, request_once, start_member, Process};
 use std::time::Duration;
 use syscall_faults::SyscallFaults;
 
--- a/tests/common/play.rs
+++ b/tests/common/play.rs
@@ -2,10 +2,10 @@
 //! `who < bytes` (expected from it next) and a few commands. `docs/architecture.md` describes the format.
 
 mod bytes;
-mod party;
+mod scripted_server;
 
 use bytes::{expect_bytes, parse_literal};
-use party::{AcceptMode, ScriptedServer};
+use scripted_server::{AcceptMode, ScriptedServer};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpStream};
--- a/tests/common/stand.rs
+++ b/tests/common/proxy_process.rs
@@ -1,20 +1,25 @@
 //! Runs proxy processes with fake members and sends them requests and admin commands.
 #![allow(dead_code)]
 
+mod fake_member;
+mod messages;
 mod ports;
 mod process_state;
 
+// Each test file uses some of these.
+#[allow(unused_imports)]
+pub use fake_member::{start_member, start_member_with_role, start_observed_member};
+#[allow(unused_imports)]
+pub use messages::{query, read_response, startup};
 pub use ports::free_port;
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Far longer than any step takes; only a failing test reaches it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -22,116 +27,6 @@
 /// The number of lines of a process's log that a failing test prints.
 const PRINTED_LOG_LINES: usize = 100;
 
-fn message(tag: u8, body: &[u8]) -> Vec<u8> {
-    [&[tag][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
-}
-
-pub fn query(text: &str) -> Vec<u8> {
-    message(b'Q', &[text.as_bytes(), b"\0"].concat())
-}
-
-pub fn startup() -> Vec<u8> {
-    let body = b"\0\x03\0\0user\0web\0database\0orders\0\0";
-    [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
-}
-
-/// Reads messages up to and with `ReadyForQuery` and returns their tags; `None` if the connection ends first.
-/// The error that ended it is printed, which a failing test shows.
-pub fn read_response(stream: &mut impl Read) -> Option<String> {
-    let mut tags = String::new();
-    while !tags.ends_with('Z') {
-        match read_message_tag(stream) {
-            Ok(tag) => tags.push(tag),
-            Err(error) => {
-                eprintln!("response ended after the messages {tags:?}: {error} ({:?})", error.kind());
-                return None;
-            }
-        }
-    }
-    Some(tags)
-}
-
-/// Reads one message and returns its tag.
-fn read_message_tag(stream: &mut impl Read) -> io::Result<char> {
-    let mut head = [0; 5];
-    stream.read_exact(&mut head)?;
-    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-    stream.read_exact(&mut vec![0; length - 4])?;
-    Ok(char::from(head[0]))
-}
-
-/// Starts a fake primary; returns its address and the count of the statements that it received.
-pub fn start_member() -> (String, Arc<AtomicUsize>) {
-    start_member_with_role("primary")
-}
-
-/// Starts a fake member that answers as each statement asks (by default with a row), and counts the
-/// statements.
-pub fn start_member_with_role(role: &'static str) -> (String, Arc<AtomicUsize>) {
-    let statement_count = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&statement_count);
-    let observe = move |_: &str| {
-        count.fetch_add(1, Ordering::Relaxed);
-    };
-    (start_observed_member(role, observe), statement_count)
-}
-
-/// Starts a fake member that passes each statement to `observe` before it answers; returns its address.
-pub fn start_observed_member(role: &'static str, observe: impl Fn(&str) + Send + Sync + 'static) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("local address").to_string();
-    let observe = Arc::new(observe);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let observe = Arc::clone(&observe);
-            thread::spawn(move || serve_connection(stream, role, &*observe));
-        }
-    });
-    address
-}
-
-fn serve_connection(mut stream: TcpStream, role: &str, observe: &dyn Fn(&str)) -> Option<()> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).ok()?;
-    stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
-    let ready = [message(b'S', format!("role\0{role}\0").as_bytes()), message(b'Z', b"I")].concat();
-    stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
-    let row_description = b"\0\x01payload\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
-    let parts =
-        [message(b'T', row_description), message(b'D', b"\0\x01\0\0\0\x01v"), message(b'C', b"SELECT 1\0")];
-    loop {
-        let mut head = [0; 5];
-        stream.read_exact(&mut head).ok()?;
-        let mut text = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
-        stream.read_exact(&mut text).ok()?;
-        if text == b"\0" {
-            stream.write_all(&[message(b'I', b""), message(b'Z', b"I")].concat()).ok()?;
-            continue;
-        }
-        let text = String::from_utf8_lossy(&text);
-        if !text.starts_with("SHOW") {
-            observe(&text);
-        }
-        let error = |code: &str| message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
-        match text.split_once("SELECT ").map_or("", |(_, requested)| requested.trim_end_matches('\0')) {
-            "error" => stream.write_all(&[error("XX000"), ready.clone()].concat()).ok()?,
-            "full" => stream.write_all(&[error("53300"), ready.clone()].concat()).ok()?,
-            "miss" => stream.write_all(&[error("72000"), ready.clone()].concat()).ok()?,
-            "reset" => return None,
-            // No row, with the current position.
-            requested if requested.starts_with("nothing") => {
-                let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis());
-                let position = message(b'S', format!("applied_ms\0{now}\0").as_bytes());
-                let empty_result = [parts[0].clone(), message(b'C', b"SELECT 0\0"), position].concat();
-                stream.write_all(&[empty_result, ready.clone()].concat()).ok()?;
-            }
-            // No answer until the proxy closes the connection.
-            "silence" => return stream.read_exact(&mut [0]).ok(),
-            _ => stream.write_all(&[parts.concat(), ready.clone()].concat()).ok()?,
-        }
-    }
-}
-
 /// A proxy process, which is killed when dropped. If the test has failed, its log is printed then.
 pub struct Process {
     pub child: Child,
--- a/tests/common/ending.rs
+++ b/tests/common/running_proxy.rs
@@ -1,12 +1,12 @@
 //! A proxy process that is told to shut down, and its clients.
 #![allow(dead_code)]
 
-#[path = "stand.rs"]
-mod stand;
+#[path = "proxy_process.rs"]
+mod proxy_process;
 
-pub use stand::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
+pub use proxy_process::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
 
-use stand::start_member;
+use proxy_process::start_member;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::AtomicUsize;
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -2,15 +2,15 @@
 
 #[path = "common/config.rs"]
 mod config;
-#[path = "common/ledger.rs"]
-mod ledger;
+#[path = "common/rule_checker.rs"]
+mod rule_checker;
 #[path = "common/steps.rs"]
 mod steps;
 
-use ledger::RuleChecker;
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 use rstest::rstest;
+use rule_checker::RuleChecker;
 use serde_json::{json, Value};
 use steps::Step;
 use wharfplank::proxy::config::{AddressOverrides, Config};
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -1,14 +1,14 @@
 //! Idle clients use up the file descriptors of the process while discovery is down.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
 #[path = "common/lists.rs"]
 mod lists;
 
 use lists::Discovery;
+use proxy_process::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
 use rstest::rstest;
-use stand::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/tests/failed_start.rs
+++ b/tests/failed_start.rs
@@ -1,11 +1,13 @@
 //! A process that cannot complete its start accepts no client, and leaves the process that it was to replace
 //! as it was.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
+use proxy_process::{
+    free_port, query, read_response, request_once, start_member, startup, Process, TEST_TIMEOUT,
+};
 use rstest::rstest;
-use stand::{free_port, query, read_response, request_once, start_member, startup, Process, TEST_TIMEOUT};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::Path;
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -1,10 +1,10 @@
 //! The counters of the admin interface, compared with the counts of clients and members.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
+use proxy_process::{free_port, start_member_with_role, Process};
 use serde_json::Value;
-use stand::{free_port, start_member_with_role, Process};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -47,16 +47,16 @@
     for i in 0..REQUESTS_PER_CLIENT {
         let mut stream = open_connection.take().unwrap_or_else(|| {
             let mut stream = TcpStream::connect(("127.0.0.1", port)).expect("the process listens");
-            stream.set_read_timeout(Some(stand::TEST_TIMEOUT)).expect("set the read timeout");
-            stream.write_all(&stand::startup()).expect("write to the socket");
-            stand::read_response(&mut stream).expect("startup response");
+            stream.set_read_timeout(Some(proxy_process::TEST_TIMEOUT)).expect("set the read timeout");
+            stream.write_all(&proxy_process::startup()).expect("write to the socket");
+            proxy_process::read_response(&mut stream).expect("startup response");
             stream
         });
         let class = if i % 4 == 0 { "put" } else { "any" };
         let statement =
             STATEMENTS.iter().find(|(every, _)| i % every == 1).map_or("row", |(_, statement)| statement);
         let text = format!("/* id={number}-{i},c={class},d=200,cluster=2 */ SELECT {statement}");
-        stream.write_all(&stand::query(&text)).expect("write to the socket");
+        stream.write_all(&proxy_process::query(&text)).expect("write to the socket");
         if let Some(outcome) = read_outcome(&mut stream) {
             *counts.entry((class.to_string(), outcome)).or_default() += 1;
             open_connection = Some(stream);
@@ -69,8 +69,10 @@
 fn start_unanswered_request(port: u16, number: usize) -> TcpStream {
     let mut stream = TcpStream::connect(("127.0.0.1", port)).expect("the process listens");
     let text = format!("/* id=leaver-{number},c=any,d=900000,cluster=2 */ SELECT silence");
-    stream.write_all(&[stand::startup(), stand::query(&text)].concat()).expect("write to the socket");
-    stand::read_response(&mut stream).expect("startup response");
+    stream
+        .write_all(&[proxy_process::startup(), proxy_process::query(&text)].concat())
+        .expect("write to the socket");
+    proxy_process::read_response(&mut stream).expect("startup response");
     stream
 }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -1,9 +1,9 @@
 //! A process that is replaced under load by another one at the same address.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
-use stand::{free_port, request_once, start_member, start_member_with_role, Process};
+use proxy_process::{free_port, request_once, start_member, start_member_with_role, Process};
 use std::io::Write;
 use std::net::TcpStream;
 use std::os::unix::fs::{FileTypeExt, MetadataExt};
@@ -46,7 +46,7 @@
     /// Waits until `count` more requests are served.
     fn wait_for_served(&self, count: usize) {
         let until = self.served.load(Ordering::Relaxed) + count;
-        for _ in 0..stand::TEST_TIMEOUT.as_millis() / 5 {
+        for _ in 0..proxy_process::TEST_TIMEOUT.as_millis() / 5 {
             if self.served.load(Ordering::Relaxed) >= until {
                 return;
             }
@@ -149,7 +149,7 @@
     new.child.wait().expect("the process exits");
     // After any number of successors, the old process listens for the next one at one new handover socket;
     // until it is created, the previous socket is the only one.
-    for _ in 0..stand::TEST_TIMEOUT.as_millis() / 10 {
+    for _ in 0..proxy_process::TEST_TIMEOUT.as_millis() / 10 {
         if handover_socket_inode(folder.path()) != inode && listeners(folder.path()) == 1 {
             break;
         }
@@ -167,11 +167,11 @@
 /// Sends one write on a new connection and returns the message tags of its response.
 fn write_once(port: u16, id: &str) -> Option<String> {
     let mut stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
-    stream.set_read_timeout(Some(stand::TEST_TIMEOUT)).ok()?;
+    stream.set_read_timeout(Some(proxy_process::TEST_TIMEOUT)).ok()?;
     let text = format!("/* id={id},c=put,d=900000,cluster=2 */ SELECT 1");
-    stream.write_all(&[stand::startup(), stand::query(&text)].concat()).ok()?;
-    stand::read_response(&mut stream)?;
-    stand::read_response(&mut stream)
+    stream.write_all(&[proxy_process::startup(), proxy_process::query(&text)].concat()).ok()?;
+    proxy_process::read_response(&mut stream)?;
+    proxy_process::read_response(&mut stream)
 }
 
 /// Guards against a new process that sends writes to a member that the old process knew to be no primary any
--- a/tests/idempotency_window.rs
+++ b/tests/idempotency_window.rs
@@ -1,11 +1,11 @@
 //! A write whose connection breaks after its last byte was sent: whether it is sent again, until when, and
 //! what its client is told, by the repeat rule of its class.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
+use proxy_process::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
 use rstest::rstest;
-use stand::{free_port, query, read_response, startup, Process, TEST_TIMEOUT};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/negative_cache.rs
+++ b/tests/negative_cache.rs
@@ -1,10 +1,10 @@
 //! Two proxies that share a negative cache: each answers from the other's entries, also beyond the staleness
 //! bound of a read, until the key is written through either proxy.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
-use stand::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
+use proxy_process::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -1,12 +1,12 @@
 //! The time until a starting process answers an empty query, which is the readiness check of the load
 //! balancer in front.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 
+use proxy_process::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
 use rstest::rstest;
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
-use stand::{free_port, query, read_response, start_member, startup, Process, TEST_TIMEOUT};
 use std::io::{IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,13 +2,13 @@
 //! never sent to a member. The process is stopped and continued where two events must reach it at the same
 //! time.
 
-#[path = "common/ending.rs"]
-mod ending;
+#[path = "common/running_proxy.rs"]
+mod running_proxy;
 
-use ending::{
+use rstest::rstest;
+use running_proxy::{
     free_port, is_closed, query, read_response, request, sleep_until_elapsed, startup, Process, RunningProxy,
 };
-use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/shutdown_close.rs
+++ b/tests/shutdown_close.rs
@@ -2,11 +2,11 @@
 //! answered, and an unanswered one was never sent to a member. The process is stopped and continued where two
 //! events must reach it at the same time.
 
-#[path = "common/ending.rs"]
-mod ending;
+#[path = "common/running_proxy.rs"]
+mod running_proxy;
 
-use ending::{is_closed, read_response, request, sleep_until_elapsed, RunningProxy};
 use rstest::rstest;
+use running_proxy::{is_closed, read_response, request, sleep_until_elapsed, RunningProxy};
 use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Barrier};
--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -1,14 +1,14 @@
 //! System calls that fail temporarily, in all the ways that Linux documents: every request gets its final
 //! answer, no write runs twice, and the process exits cleanly.
 
-#[path = "common/stand.rs"]
-mod stand;
+#[path = "common/proxy_process.rs"]
+mod proxy_process;
 #[path = "common/syscall_faults.rs"]
 mod syscall_faults;
 
+use proxy_process::{free_port, query, read_response, start_observed_member, startup, Process, TEST_TIMEOUT};
 use rstest::rstest;
 use rustix::process::{kill_process, Pid, Signal};
-use stand::{free_port, query, read_response, start_observed_member, startup, Process, TEST_TIMEOUT};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
