--- a/crates/proxy/src/log/shutdown.rs
+++ b/crates/proxy/src/log/shutdown.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// What is still open at a step of the shutdown.
+/// The work that is still open at a step of the shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OpenWork {
     /// Requests without a final response.
--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -26,6 +27,9 @@
 /// The number of requests after which a client opens a new connection.
 const REQUESTS_PER_CONNECTION: usize = 6;
 
+/// The number of SIGHUPs of a series.
+const SIGNALS: usize = 20_000;
+
 /// The deadline, in ms, of requests that must be served however slow the machine is.
 const LONG_DEADLINE_MS: u32 = 900_000;
 /// The deadline, in ms, of requests that need only a final answer: it passes while the client still waits.
@@ -136,6 +140,17 @@
     outcome
 }
 
+/// Starts a process with a member of its own, and waits until it is ready.
+fn start_until_ready(faults: &SyscallFaults, folder: &Path, port: u16) -> Process {
+    let environment = faults.environment(folder, port);
+    let environment: Vec<(&str, &str)> = environment.iter().map(|(name, value)| (*name, &**value)).collect();
+    let address = start_counting_member(&StatementCounts::default());
+    let members = [("m1", address.as_str())];
+    let process = Process::start_with_environment(folder, port, &members, &environment, |config| config);
+    process.wait_until_ready();
+    process
+}
+
 /// Returns whether a request is a write, which requests with odd numbers are, and ran more than once.
 fn is_write_run_twice((id, count): &(String, usize)) -> bool {
     let number: Option<usize> = id.rsplit('-').next().and_then(|number| number.parse().ok());
@@ -242,22 +257,12 @@
     let faults = SyscallFaults { faults: "local_send=ENOBUFS", rate: 1, ..SyscallFaults::default() };
     let folder = tempfile::tempdir().expect("temporary directory");
     let port = free_port();
-    let environment = faults.environment(folder.path(), port);
-    let environment: Vec<(&str, &str)> = environment.iter().map(|(name, value)| (*name, &**value)).collect();
-    let address = start_counting_member(&StatementCounts::default());
-    let mut process =
-        Process::start_with_environment(folder.path(), port, &[("m1", &address)], &environment, |config| {
-            config
-        });
-    process.wait_until_ready();
+    let mut process = start_until_ready(&faults, folder.path(), port);
     process.terminate();
     assert_eq!(process.wait_for_exit(EARLIEST_KILL), Some(0), "clean exit before the earliest SIGKILL");
     assert!(injected_faults(folder.path()) > 0, "no wake-up failed: nothing was tested");
 }
 
-/// The number of SIGHUPs of a series, which one client loads the process beside.
-const SIGNALS: usize = 20_000;
-
 /// Guards against a fault injection library that deadlocks if a signal interrupts it: the process hung for
 /// good, and looked as if it ended late.
 #[test]
@@ -266,14 +271,7 @@
     let faults = SyscallFaults { faults: "accept=ENOMEM", rate: RATE, ..SyscallFaults::default() };
     let folder = tempfile::tempdir().expect("temporary directory");
     let port = free_port();
-    let environment = faults.environment(folder.path(), port);
-    let environment: Vec<(&str, &str)> = environment.iter().map(|(name, value)| (*name, &**value)).collect();
-    let address = start_counting_member(&StatementCounts::default());
-    let mut process =
-        Process::start_with_environment(folder.path(), port, &[("m1", &address)], &environment, |config| {
-            config
-        });
-    process.wait_until_ready();
+    let mut process = start_until_ready(&faults, folder.path(), port);
     let client = thread::spawn(move || run_client(port, 0, SHORT_DEADLINE_MS));
     let id = Pid::from_child(&process.child);
     for _ in 0..SIGNALS {
