Startup: a comment where it holds; member observations are formatted only at level debug

Cause: the comment stood above a call that may fail; the log formatted scores that no level wanted. Change: the comment stands above the client socket's listening; the event is dropped before its text is made.

--- a/crates/proxy/src/log/gossip.rs
+++ b/crates/proxy/src/log/gossip.rs
@@ -55,6 +55,7 @@
             let (verdict, score) = (verdict.as_str(), score.as_str());
             info!(name, verdict, score, observers = observers as u64, "member_health");
         }
+        GossipLogEvent::MemberObserved { .. } if !tracing::enabled!(tracing::Level::DEBUG) => {}
         GossipLogEvent::MemberObserved { name, own, score, observers } => {
             let own_score = format!("{:.2}", own.map_or(0.0, HealthObservation::score));
             let score = score.map_or_else(|| "-".to_string(), |score| format!("{score:.2}"));
--- a/crates/proxy/src/startup/mod.rs
+++ b/crates/proxy/src/startup/mod.rs
@@ -79,8 +79,8 @@
     context.start_negative_cache(&config, &mut broker)?;
     context.start_rollout(&config, &mut broker)?;
 
-    // Clients are accepted from here on, so nothing after this may fail.
     let admin_listener = admin_socket.map(AdminSocket::listen).transpose()?;
+    // The operating system accepts clients from here on, so nothing after this may fail.
     let ListeningSocket { listener, handover_path, inherited } = client_socket.listen()?;
     let admin_calls = context.serve_admin(admin_listener);
     if let Some(path) = handover_path {
