Review case 1: count the commits that a stale read misses

Cause: the record told the age of the data alone. Change: the new primary of review/1 commits every 300 ms; the record says how many commits each stale read misses. The check is the same.

--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -24,6 +24,8 @@
 const GIVEN_UP_MS: u64 = 2_000;
 const TAKES_OVER_MS: u64 = 2_000;
 const LISTED_MS: u64 = 3_500;
+/// The new primary commits a write of the clients in its own data centre this often.
+const COMMIT_EVERY_MS: u64 = 300;
 
 /// The role of a member, and the position at which it stands if it is no primary and gets no log.
 struct State {
@@ -108,8 +110,10 @@
 
     // The platform and the servers.
     let took_over: Arc<Mutex<Option<i64>>> = Arc::default();
+    let commits: Arc<Mutex<Vec<i64>>> = Arc::default();
     let cut = thread::spawn({
         let (record, discovery, took_over) = (record.clone(), discovery.clone(), Arc::clone(&took_over));
+        let commits = Arc::clone(&commits);
         move || {
             thread::sleep(Duration::from_millis(2_000));
             if !trouble() {
@@ -124,6 +128,11 @@
             thread::sleep(Duration::from_millis(TAKES_OVER_MS));
             *states[1].lock().unwrap() = State { primary: true, stands_at: None };
             *took_over.lock().unwrap() = Some(now_ms());
+            let commits = Arc::clone(&commits);
+            thread::spawn(move || loop {
+                thread::sleep(Duration::from_millis(COMMIT_EVERY_MS));
+                commits.lock().unwrap().push(now_ms());
+            });
             record.line("s-1 is the primary");
             thread::sleep(Duration::from_millis(LISTED_MS));
             discovery.change(|entries| {
@@ -176,8 +185,10 @@
         let position = position.max(took_over);
         if sent.at > known_at && sent.at - position > BOUND_MS + SLACK_MS {
             broken += 1;
+            let missed = commits.lock().unwrap().iter().filter(|at| **at < sent.at - BOUND_MS - SLACK_MS).count();
             record.line(&format!(
-                "STALE {}: sent {} ms after s-0's word that it is a replica counted as known, to data {} ms old",
+                "STALE {}: sent {} ms after s-0's word that it is a replica counted as known, to data {} ms old; \
+                 misses {missed} commits",
                 sent.id,
                 sent.at - known_at,
                 sent.at - position
