Review case 2: a session's read misses its write when the write's answer was lost

Cause: where sessions are remembered, a write is held to have happened only once its answer was read (attempts.rs, record_commit; read_routing.rs, required_position). While it is open or has ended without a word, its session's reads go to any replica.

--- a/review/common/lib.rs
+++ b/review/common/lib.rs
@@ -2,10 +2,11 @@
 // command of the deploy file. Standard library only.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,6 +17,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn prctl(option: i32, a: usize, b: usize, c: usize, d: usize) -> i32;
 }
 
@@ -248,6 +250,74 @@
     }
 }
 
+// -------------------------------------------------------------------------------------------------- network
+
+/// The network between the proxy and one member: passes all bytes on, until [`Relay::cut_answers`] is called for a
+/// connection. From then on that connection is silent, and it is reset after `silent_for`.
+#[derive(Clone)]
+pub struct Relay {
+    pub address: SocketAddr,
+    cut: Arc<Mutex<HashSet<u16>>>,
+}
+
+impl Relay {
+    pub fn start(member: SocketAddr, silent_for: Duration) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let relay = Relay { address: listener.local_addr().unwrap(), cut: Arc::default() };
+        let cut = Arc::clone(&relay.cut);
+        thread::spawn(move || {
+            for near in listener.incoming() {
+                let Ok(near) = near else { continue };
+                let Ok(far) = TcpStream::connect(member) else { continue };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                let port = far.local_addr().map_or(0, |address| address.port());
+                let (near_out, far_in) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+                thread::spawn(move || pass(near, far));
+                let cut = Arc::clone(&cut);
+                thread::spawn(move || pass_answers(far_in, near_out, &cut, port, silent_for));
+            }
+        });
+        relay
+    }
+
+    /// Makes the connection silent that the member sees as coming from this port.
+    pub fn cut_answers(&self, port: u16) {
+        self.cut.lock().unwrap().insert(port);
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream) {
+    let mut bytes = vec![0; 65_536];
+    while let Ok(count @ 1..) = from.read(&mut bytes) {
+        if to.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
+
+fn pass_answers(mut from: TcpStream, to: TcpStream, cut: &Mutex<HashSet<u16>>, port: u16, silent_for: Duration) {
+    let mut bytes = vec![0; 65_536];
+    while let Ok(count @ 1..) = from.read(&mut bytes) {
+        if cut.lock().unwrap().contains(&port) {
+            thread::sleep(silent_for);
+            reset(&to);
+            return;
+        }
+        if (&to).write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Resets a connection: closes it without lingering (SOL_SOCKET, SO_LINGER).
+fn reset(stream: &TcpStream) {
+    let linger = [1i32, 0];
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr(), 8) };
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
 // ---------------------------------------------------------------------------------------------- discovery
 
 /// The list of members, as discovery tells it.
