Close a connection only after its client's system has taken the output

Cause: a connection counted as idle once the system had taken its output (client_connection/wait.rs, plan_wait). The system discards what the client has not taken as soon as anything more arrives at the closed connection. Evidence: the log could not tell this close from one at rest, so a client's `ended` line now has `undelivered`. Change: socket/send_queue.rs reads a connection's send queue from the socket diagnostics (crates netlink-packet-*; no unsafe). While it holds anything the connection goes on serving, is checked every 25 ms, and no eviction takes it; where no more commands are accepted, the sending side is shut and the socket stays open, unread, until the queue is empty. 5 s without progress count as a stalled client, as while writing. What the peer's system has acknowledged cannot be discarded by a reset.

--- a/crates/proxy/src/log/mod.rs
+++ b/crates/proxy/src/log/mod.rs
@@ -18,8 +18,8 @@
 pub use gossip::{gossip_event, gossip_started, snapshot_event};
 pub use negative_cache::negative_cache_stats;
 pub use process::{
-    admin_command, admin_listening, configuration_reload_failed, configuration_reloaded, endpoint_list_state,
-    excluded_members, handover_step, listening, recorder_fault,
+    admin_command, admin_listening, configuration_reload_failed, configuration_reloaded, delivery_unmeasured,
+    endpoint_list_state, excluded_members, handover_step, listening, recorder_fault,
 };
 pub use requests::{activity_counts, connection_ended, request_unserved, UnservedRequest};
 pub use rollout::{describe_action, rollout_event, rollout_started};
--- a/crates/proxy/src/log/process.rs
+++ b/crates/proxy/src/log/process.rs
@@ -10,6 +10,12 @@
     info!(listen = %listen, "started");
 }
 
+/// Logs that the system does not tell how much of a connection's output the client's system has taken, so
+/// that output counts as delivered once it is written.
+pub fn delivery_unmeasured() {
+    warn!(what = "unavailable", "socket_diagnostics");
+}
+
 /// Logs that operators can connect.
 pub fn admin_listening(listen: SocketAddr) {
     info!(listen = %listen, "admin_started");
--- a/crates/proxy/src/log/requests.rs
+++ b/crates/proxy/src/log/requests.rs
@@ -15,6 +15,7 @@
         reason = end.reason,
         requests = end.requests,
         age_ms,
+        undelivered = (end.undelivered_bytes > 0).then_some(end.undelivered_bytes),
         at_ms = unix_ms(),
         "ended"
     );
--- a/crates/proxy/src/startup/mod.rs
+++ b/crates/proxy/src/startup/mod.rs
@@ -64,6 +64,9 @@
     let budgets = context.start_budgets()?;
     let pool_context = context.member_pool_context(&config, limits, budgets.clone());
     let clients = context.client_listener(&config, limits);
+    if !clients.measures_delivery() {
+        log::delivery_unmeasured();
+    }
     let watch = context.watch_discovery(&config, budgets);
     let recorder = DecisionRecorder::start(settings.records.as_ref(), &config, context.clock)?;
     let mut broker = Broker::new(
--- a/crates/transport/src/client_connection.rs
+++ b/crates/transport/src/client_connection.rs
@@ -4,6 +4,7 @@
 //! - `commands`: parses commands and dispatches requests.
 //! - `input` and `arrival_times`: reads input and records when it arrived.
 //! - `output` and `streaming`: write complete and streamed responses.
+//! - `delivery`: keeps the connection open until the client's system has taken what was written.
 //! - `wait`: waits for the next event and enforces the time limits.
 //! - [`ResponseWriter`]: passes responses from the broker to the connection.
 
@@ -11,6 +12,7 @@
 mod cancel_keys;
 mod close_reason;
 mod commands;
+mod delivery;
 mod input;
 mod output;
 mod response_writer;
@@ -25,6 +27,8 @@
 use crate::socket::stream::TcpConnection;
 use crate::ProxyEvent;
 use arrival_times::ArrivalTimes;
+use delivery::DeliveryProgress;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
 use streaming::ActiveStream;
@@ -50,6 +54,7 @@
     discarded: usize,
     /// The streamed response that is being written.
     active_stream: Option<ActiveStream>,
+    delivery: DeliveryProgress,
 }
 
 impl ClientConnection {
@@ -70,6 +75,7 @@
             arrival_times: ArrivalTimes::default(),
             discarded: 0,
             active_stream: None,
+            delivery: DeliveryProgress::default(),
         }
     }
 
@@ -78,6 +84,11 @@
         self.requests
     }
 
+    /// Returns the client's socket.
+    pub(crate) fn socket(&self) -> &TcpStream {
+        self.stream.get_ref()
+    }
+
     /// Serves the connection until it ends and returns the reason. Reports open requests as disconnected.
     pub(crate) async fn serve(&mut self, listener: &ClientListener) -> CloseReason {
         let _ = self.stream.get_ref().set_nodelay(true);
@@ -85,6 +96,7 @@
         for number in self.response_writer.disconnect() {
             let _ = listener.events.send(ProxyEvent::ClientDisconnected(number)).await;
         }
+        self.finish_delivery(listener, reason).await;
         reason
     }
 
--- a/crates/transport/src/client_connection/close_reason.rs
+++ b/crates/transport/src/client_connection/close_reason.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// Returns whether the client may still read the output that was written before the end.
+    pub(super) fn client_may_still_read(self) -> bool {
+        !matches!(
+            self,
+            CloseReason::ClientGone
+                | CloseReason::ClientClosed
+                | CloseReason::ClientReset
+                | CloseReason::ClientStalled
+        )
+    }
+
     /// Returns the error sent to the client when the connection ends for this reason, if any.
     pub(super) fn violation(self) -> Option<ProtocolViolation> {
         let (code, text) = match self {
--- a/crates/transport/src/client_connection/input.rs
+++ b/crates/transport/src/client_connection/input.rs
@@ -125,14 +125,17 @@
 
     /// Polls for the disconnect of a client that is not being read.
     async fn poll_for_disconnect(&self) -> Result<usize, CloseReason> {
-        const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
-        loop {
-            let mut polled = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
-            let result = poll(&mut polled, Some(&NO_WAIT));
-            if result.is_ok() && polled[0].revents().contains(PollFlags::RDHUP) {
-                return Ok(0);
-            }
+        while !self.has_disconnected() {
             Timer::after(DISCONNECT_POLL_INTERVAL).await;
         }
+        Ok(0)
+    }
+
+    /// Returns whether the client has disconnected, even if input precedes that.
+    pub(super) fn has_disconnected(&self) -> bool {
+        const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut polled = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
+        let result = poll(&mut polled, Some(&NO_WAIT));
+        result.is_ok() && polled[0].revents().contains(PollFlags::RDHUP)
     }
 }
--- a/crates/transport/src/client_connection/output.rs
+++ b/crates/transport/src/client_connection/output.rs
@@ -13,7 +13,7 @@
 use wharfplank_protocol::pipeline::{Closing, NextWrite};
 
 /// The maximum time without write progress, after which the client counts as stalled.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+pub(super) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum duration of one flush.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(60);
 /// The time a connection stays open after a fatal error while further input is discarded.
--- a/crates/transport/src/client_connection/response_writer.rs
+++ b/crates/transport/src/client_connection/response_writer.rs
@@ -83,8 +83,7 @@
     /// first byte is sent, since the client may have disconnected while the attempt waited for a connection,
     /// without the disconnect having been processed yet.
     pub fn is_awaited_now(&self, number: RequestNumber) -> bool {
-        let stream = self.socket.borrow().upgrade();
-        if stream.is_some_and(|stream| peek::has_ended(stream.get_ref())) {
+        if self.socket().is_some_and(|stream| peek::has_ended(stream.get_ref())) {
             self.disconnected.set(true);
         }
         self.is_awaited(number)
@@ -110,6 +109,11 @@
         *self.socket.borrow_mut() = Rc::downgrade(socket);
     }
 
+    /// Returns the client's socket, while the connection is served.
+    pub(crate) fn socket(&self) -> Option<Rc<TcpConnection>> {
+        self.socket.borrow().upgrade()
+    }
+
     /// Marks the client as disconnected and returns the open requests.
     pub(super) fn disconnect(&self) -> Vec<RequestNumber> {
         self.disconnected.set(true);
--- a/crates/transport/src/client_connection/wait.rs
+++ b/crates/transport/src/client_connection/wait.rs
@@ -1,5 +1,6 @@
 //! Waiting for the next event of a connection, and its time limits.
 
+use super::delivery::DELIVERY_CHECK_INTERVAL;
 use super::input::ReadMode;
 use super::{ClientConnection, CloseReason};
 use crate::client_listener::{ClientListener, DrainPhase};
@@ -38,6 +39,8 @@
     has_open_commands: bool,
     /// The reason to close the connection, unless input has arrived.
     close: Option<CloseReason>,
+    /// When to check again whether the connection can close, if output is still being delivered.
+    recheck_at: Option<Instant>,
     /// The time limit of the wait.
     deadline: Option<Instant>,
     /// The close reason if the time limit passes.
@@ -56,9 +59,6 @@
         woken: EventListener,
     ) -> Result<(), CloseReason> {
         let plan = self.plan_wait(listener);
-        if self.cannot_become_ready(listener) && self.close_if_idle() {
-            return Err(CloseReason::Shutdown);
-        }
         let wake = self.wait_for_wake(&plan, woken).await;
         self.state.idle_since.set(None);
         match wake {
@@ -72,7 +72,8 @@
                 Ok(())
             }
             Ok(Wake::Notified) => self.on_notified(&plan),
-            Ok(Wake::TimedOut) => self.on_timeout(plan.timeout_reason),
+            Ok(Wake::TimedOut) if plan.deadline.is_none_or(|deadline| Instant::now() < deadline) => Ok(()),
+            Ok(Wake::TimedOut) => self.on_timeout(listener, plan.timeout_reason),
             Err(CloseReason::OutOfMemory) => {
                 self.end_after_responses(CloseReason::OutOfMemory);
                 Ok(())
@@ -99,9 +100,13 @@
             (idle && !before_first_command).then(|| self.idle_since.unwrap_or(now) + IDLE_TIMEOUT);
         let first_deadline = before_first_command.then_some(self.accepted_at + FIRST_COMMAND_TIMEOUT);
         let message_deadline = self.message_started_at.map(|at| at + MESSAGE_TIMEOUT);
+        let close = self.pending_close(listener, idle);
+        let recheck_at =
+            (close.is_some() && self.is_delivering(listener)).then(|| now + DELIVERY_CHECK_INTERVAL);
         WaitPlan {
             has_open_commands,
-            close: self.pending_close(listener, idle),
+            close: close.filter(|_| recheck_at.is_none()),
+            recheck_at,
             deadline: [message_deadline, first_deadline, idle_deadline].into_iter().flatten().min(),
             timeout_reason: match (self.started, idle_deadline) {
                 (false, _) => CloseReason::StartupTimeout,
@@ -118,7 +123,7 @@
             DrainPhase::ClosingIdle => idle && self.state.closes_while_draining.get(),
             DrainPhase::Closed => self.response_writer.is_empty(),
         };
-        if shuts_down {
+        if shuts_down || self.cannot_become_ready(listener) {
             return Some(CloseReason::Shutdown);
         }
         let evictable = idle || !self.state.has_sent_command.get();
@@ -153,7 +158,7 @@
         let read = async { self.read_available(mode).await.map(Wake::Read) };
         // Reading comes first, so that input that has already arrived is not lost when the connection closes.
         let work = future::or(read, future::or(chunk, notified));
-        match plan.deadline {
+        match plan.deadline.into_iter().chain(plan.recheck_at).min() {
             Some(deadline) => with_deadline(deadline, work).await.unwrap_or(Ok(Wake::TimedOut)),
             None => work.await,
         }
@@ -161,16 +166,21 @@
 
     fn on_notified(&self, plan: &WaitPlan) -> Result<(), CloseReason> {
         match plan.close {
-            Some(reason) if plan.has_open_commands || self.close_if_idle() => Err(reason),
+            Some(reason) if self.close_if_idle() => Err(reason),
             _ => Ok(()),
         }
     }
 
-    fn on_timeout(&self, reason: CloseReason) -> Result<(), CloseReason> {
+    fn on_timeout(&mut self, listener: &ClientListener, reason: CloseReason) -> Result<(), CloseReason> {
         if reason != CloseReason::IdleTimeout {
             self.end_after_responses(reason);
             return Ok(());
         }
+        if self.is_delivering(listener) {
+            // The client is still reading the last response.
+            self.idle_since = Some(Instant::now());
+            return Ok(());
+        }
         if self.close_if_idle() {
             Err(CloseReason::IdleTimeout)
         } else {
--- a/crates/transport/src/client_listener.rs
+++ b/crates/transport/src/client_listener.rs
@@ -8,6 +8,7 @@
 
 use crate::client_connection::{CancelKeys, ClientConnection, CloseReason, ResponseWriter};
 use crate::socket::listener::BACKLOG;
+use crate::socket::send_queue::SendQueues;
 use crate::socket::stream::TcpConnection;
 use crate::socket::{open, transient};
 use crate::{ConnectionEnd, ConnectionEndObserver, MemoryBudget, ProxyEvent, Remote};
@@ -19,7 +20,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_protocol::client_session::ProtocolViolation;
@@ -51,6 +52,7 @@
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_number: Cell<u64>,
     cancel_keys: CancelKeys,
+    send_queues: SendQueues,
     /// Whether the process is ready to serve queries. Empty queries are not answered before.
     pub(crate) ready: Cell<bool>,
     pub(crate) drain_phase: Cell<DrainPhase>,
@@ -93,6 +95,7 @@
             connections: RefCell::default(),
             next_number: Cell::new(0),
             cancel_keys: CancelKeys::default(),
+            send_queues: SendQueues::open(),
             ready: Cell::new(false),
             drain_phase: Cell::new(DrainPhase::Serving),
             listening: Cell::new(true),
@@ -223,6 +226,7 @@
                 remote: Remote::Client,
                 address,
                 reason: reason.as_str(),
+                undelivered_bytes: listener.undelivered_bytes(connection.socket()).unwrap_or(0),
                 requests: connection.requests(),
                 started_at: accepted_at,
             });
@@ -238,6 +242,20 @@
         }
     }
 
+    /// Returns whether the system tells how much of a connection's output its client's system has taken.
+    pub fn measures_delivery(&self) -> bool {
+        self.send_queues.is_available()
+    }
+
+    /// Returns the number of bytes written to a connection that its client's system has not taken yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a system call, which says nothing about the connection.
+    pub(crate) fn undelivered_bytes(&self, stream: &TcpStream) -> io::Result<usize> {
+        self.send_queues.unacknowledged_bytes(stream)
+    }
+
     /// Returns a number for a connection or a request that is unique in this process.
     pub(crate) fn next_number(&self) -> u64 {
         self.next_number.replace(self.next_number.get() + 1)
--- a/crates/transport/src/client_listener/admission.rs
+++ b/crates/transport/src/client_listener/admission.rs
@@ -112,18 +112,26 @@
         let connections = self.connections.borrow();
         let now = Instant::now();
         let candidates = connections.values().filter(|state| !state.evicted.get());
-        let ranked = candidates.filter_map(|state| {
+        let eligible = candidates.filter_map(|state| {
             let idle_since = state.idle_since.get()?;
             let order = EvictionOrder::of(state, now - idle_since);
             eligible(order, state).then_some((order, idle_since, state))
         });
-        let first = ranked.min_by_key(|(order, idle_since, _)| (*order, *idle_since));
+        let mut ranked: Vec<_> = eligible.collect();
+        ranked.sort_by_key(|(order, idle_since, _)| (*order, *idle_since));
+        let first = ranked.into_iter().find(|(_, _, state)| !self.has_undelivered_output(state));
         let Some((_, _, state)) = first else { return false };
         state.evicted.set(true);
         state.response_writer.wake();
         true
     }
 
+    /// Returns whether the client has yet to take output, so that the connection would not close now.
+    fn has_undelivered_output(&self, state: &ConnectionState) -> bool {
+        let socket = state.response_writer.socket();
+        socket.is_some_and(|socket| self.undelivered_bytes(socket.get_ref()).is_ok_and(|bytes| bytes > 0))
+    }
+
     /// Returns the connection with this cancel key, if any.
     pub(crate) fn connection_with_key(&self, key: CancelKey) -> Option<Rc<ConnectionState>> {
         self.connections.borrow().values().find(|state| state.cancel_key == key).cloned()
--- a/crates/transport/src/connection_end.rs
+++ b/crates/transport/src/connection_end.rs
@@ -43,6 +43,9 @@
     pub address: SocketAddr,
     /// The code of the end reason.
     pub reason: &'static str,
+    /// The number of bytes that were written to the connection and not taken by the peer's system. Measured
+    /// for clients only.
+    pub undelivered_bytes: usize,
     /// The number of requests on the connection.
     pub requests: u64,
     /// When the connection was established, or when the attempt to open it started if that failed.
--- a/crates/transport/src/discovery/connection.rs
+++ b/crates/transport/src/discovery/connection.rs
@@ -82,6 +82,7 @@
             remote: Remote::Discovery,
             address: self.peer,
             reason: reason.code(),
+            undelivered_bytes: 0,
             requests: self.polls,
             started_at: self.opened_at,
         });
--- a/crates/transport/src/member_pool/connection.rs
+++ b/crates/transport/src/member_pool/connection.rs
@@ -60,6 +60,7 @@
             remote: Remote::Member(&self.pool.name),
             address: self.peer,
             reason: self.end_reason.as_str(),
+            undelivered_bytes: 0,
             requests: self.requests,
             started_at: self.opened_at,
         });
--- a/crates/transport/src/member_pool/opening.rs
+++ b/crates/transport/src/member_pool/opening.rs
@@ -115,6 +115,7 @@
             remote: Remote::Member(&self.name),
             address: peer,
             reason: EndReason::from(error).as_str(),
+            undelivered_bytes: 0,
             requests: 0,
             started_at: started,
         });
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -6,9 +6,11 @@
 //! - [`open`]: connects and accepts connections, and binds datagram sockets.
 //! - [`listener`]: binds listening sockets.
 //! - [`peek`]: inspects a socket without consuming input.
+//! - [`send_queue`]: tells what of a connection's output has not reached the peer.
 
 pub mod listener;
 pub mod open;
 pub(crate) mod peek;
+pub mod send_queue;
 pub mod stream;
 pub mod transient;
--- a/tests/common/fake_member.rs
+++ b/tests/common/fake_member.rs
@@ -38,6 +38,11 @@
     address
 }
 
+/// A row with one value of this many bytes.
+fn row(length: usize) -> Vec<u8> {
+    message(b'D', &[&b"\0\x01"[..], &(length as u32).to_be_bytes(), &vec![b'v'; length]].concat())
+}
+
 fn serve_connection(mut stream: TcpStream, role: &str, observe: &dyn Fn(&str)) -> Option<()> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).ok()?;
@@ -66,6 +71,13 @@
             "full" => stream.write_all(&[error("53300"), ready.clone()].concat()).ok()?,
             "miss" => stream.write_all(&[error("72000"), ready.clone()].concat()).ok()?,
             "reset" => return None,
+            // A row of this many bytes.
+            requested if requested.starts_with("long ") => {
+                let length = requested["long ".len()..].parse().expect("the length of a value");
+                stream
+                    .write_all(&[parts[0].clone(), row(length), parts[2].clone(), ready.clone()].concat())
+                    .ok()?;
+            }
             // No row, with the current position.
             requested if requested.starts_with("nothing") => {
                 let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis());
