A process exits only after the answers being read were delivered

Seen: at a restart, clients that were still reading a long answer at the exit time (3.3 s after SIGTERM) lost its rest. Cause: can_exit (broker/shutdown.rs) waited only for answers that members were still giving. Up to four chunks and the end of an answer may wait in the process after that, and megabytes in the system, which it discards at the client's next command. Evidence: the new test ended after 11,953,748 of 12,000,064 bytes, with event_loop_ended requests=0 streams=0 clients=1 in the log at that moment; with a command after the exit it was reset after 1,035,264 of 1,500,064 bytes. Change: past its exit time the process stays while an answer is streamed, is partly written (ConnectionState::is_writing) or waits in a send queue, for 60 s at most. The wait for streams, without limit before, has the same bound. What a client reads within that is delivered, since its connection closes by itself only when the queue is empty. Tests of shutdown, shutdown_close and handover pass.

--- a/crates/proxy/src/broker/shutdown.rs
+++ b/crates/proxy/src/broker/shutdown.rs
@@ -2,7 +2,7 @@
 //! still open are aborted.
 
 use super::attempt_table::InFlightAttempt;
-use super::shutdown_timing::{abort_delay, CLOSE_LISTENER_AFTER, FINAL_WRITE_TIME};
+use super::shutdown_timing::{abort_delay, CLOSE_LISTENER_AFTER, FINAL_WRITE_TIME, MAX_DELIVERY_TIME};
 use super::Broker;
 use crate::log::{self, OpenWork, ShutdownStep};
 use wharfplank_routing::{self as routing, AttemptOutcome, Micros};
@@ -106,19 +106,26 @@
         Some(match (shutdown.is_listener_closed, shutdown.has_aborted_requests) {
             (false, _) => shutdown.started_at + CLOSE_LISTENER_AFTER,
             (true, false) => exit_check.min(shutdown.started_at + self.abort_delay()),
-            // Responses that are still being streamed are waited for beyond the exit time.
+            // Responses that are still being streamed or delivered are waited for beyond the exit time.
             (true, true) => exit_check,
         })
     }
 
-    /// Returns whether the process may exit.
+    /// Returns whether the process may exit: all clients have been answered and have closed, or its exit time
+    /// has come and no response is being streamed or delivered, or the time for that has passed too.
     pub(super) fn can_exit(&self) -> bool {
         let Some(shutdown) = &self.lifecycle.shutdown else { return false };
         let is_drained = self.requests.is_empty() && self.clients.is_finished();
-        // Responses that are still being streamed end on their own, or when the process is killed.
+        if shutdown.is_listener_closed && is_drained {
+            return true;
+        }
         let exit_at = shutdown.started_at + self.abort_delay() + FINAL_WRITE_TIME;
-        let is_overdue = self.clock.now() >= exit_at;
-        (shutdown.is_listener_closed && is_drained) || (is_overdue && self.streaming.is_empty())
+        let now = self.clock.now();
+        if now < exit_at {
+            return false;
+        }
+        let is_delivering = !self.streaming.is_empty() || self.clients.is_delivering();
+        !is_delivering || now >= exit_at + MAX_DELIVERY_TIME
     }
 
     fn abort_delay(&self) -> Micros {
--- a/crates/proxy/src/broker/shutdown_timing.rs
+++ b/crates/proxy/src/broker/shutdown_timing.rs
@@ -9,6 +9,9 @@
 pub const MAX_ABORT_DELAY: Micros = 3_200_000;
 /// The time allowed for writing the final responses after open requests have been aborted.
 pub const FINAL_WRITE_TIME: Micros = 100_000;
+/// The maximum time for which the process stays, after its regular exit time, for responses that are still
+/// being streamed or delivered. No response takes longer than that.
+pub const MAX_DELIVERY_TIME: Micros = 60_000_000;
 
 /// Returns the time from SIGTERM until open requests are aborted, in microseconds. `longest_deadline` is the
 /// longest deadline of any class in microseconds, or 0 if no deadline is configured.
--- a/crates/transport/src/client_connection/output.rs
+++ b/crates/transport/src/client_connection/output.rs
@@ -58,11 +58,13 @@
                 }
             }
             wrote = true;
+            self.state.is_writing.set(true);
             if self.session.output.len() >= FLUSH_SIZE {
                 self.flush().await?;
             }
         }
         self.flush().await?;
+        self.state.is_writing.set(self.active_stream.is_some());
         if wrote {
             self.response_writer.update_reservation();
             if listener.drain_phase.get() != DrainPhase::Serving {
--- a/crates/transport/src/client_listener.rs
+++ b/crates/transport/src/client_listener.rs
@@ -138,6 +138,12 @@
         !self.listening.get() && self.open_connections() == 0
     }
 
+    /// Returns whether any client is still being sent a response, or has yet to take one that was written.
+    pub fn is_delivering(&self) -> bool {
+        let connections = self.connections.borrow();
+        connections.values().any(|state| state.is_writing.get() || self.has_undelivered_output(state))
+    }
+
     /// Wakes the listener and every connection.
     fn wake_all(&self) {
         self.state_changed.notify(usize::MAX);
--- a/crates/transport/src/client_listener/admission.rs
+++ b/crates/transport/src/client_listener/admission.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns whether the client has yet to take output, so that the connection would not close now.
-    fn has_undelivered_output(&self, state: &ConnectionState) -> bool {
+    pub(super) fn has_undelivered_output(&self, state: &ConnectionState) -> bool {
         let socket = state.response_writer.socket();
         socket.is_some_and(|socket| self.undelivered_bytes(socket.get_ref()).is_ok_and(|bytes| bytes > 0))
     }
--- a/crates/transport/src/client_listener/connection_state.rs
+++ b/crates/transport/src/client_listener/connection_state.rs
@@ -20,6 +20,8 @@
     pub(crate) has_sent_command: Cell<bool>,
     /// Whether the connection was selected for eviction.
     pub(crate) evicted: Cell<bool>,
+    /// Whether a response is partly written.
+    pub(crate) is_writing: Cell<bool>,
     /// Whether the connection is closed when it becomes idle during a drain. True if it was open before the
     /// drain started or has received a response since.
     pub(crate) closes_while_draining: Cell<bool>,
@@ -34,6 +36,7 @@
             idle_since: Cell::new(None),
             has_sent_command: Cell::new(false),
             evicted: Cell::new(false),
+            is_writing: Cell::new(false),
             closes_while_draining: Cell::new(false),
         }
     }
--- a/tests/undelivered_output.rs
+++ b/tests/undelivered_output.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use running_proxy::{read_response, request, sleep_until_elapsed, startup, RunningProxy};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,6 +20,8 @@
 /// The time for which half a command may stay incomplete, and for which the connection then stays open.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_300);
 const LINGER_TIME: Duration = Duration::from_millis(500);
+/// The time after SIGTERM after which open requests are given up; the process exits soon after.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(3_200);
 /// The number of idle connections that leaves no room for another one that is idle for longer.
 const EVICTING_CONNECTIONS: usize = 70;
 
@@ -103,3 +105,54 @@
     assert_eq!(proxy.process.wait_for_exit(STALL_TIME), Some(0));
     drop(client);
 }
+
+/// Reads a response and ReadyForQuery of `length` bytes at a steady pace, over `span`. Returns the number of
+/// bytes that arrived.
+fn read_slowly(client: &mut TcpStream, length: usize, span: Duration) -> usize {
+    let since = Instant::now();
+    let (mut received, mut piece) = (0, vec![0; 65_536]);
+    while received < length {
+        let wanted = piece.len().min(length - received);
+        match client.read(&mut piece[..wanted]) {
+            Ok(count @ 1..) => received += count,
+            ended => {
+                eprintln!("the connection ended after {received} of {length} bytes: {ended:?}");
+                return received;
+            }
+        }
+        sleep_until_elapsed(since, span.mul_f64(received as f64 / length as f64));
+    }
+    received
+}
+
+/// Guards against a process that exits while a client reads an answer, which loses what the process has not
+/// written yet, or, with the client's next command, what the system has not sent yet.
+#[rstest]
+#[case::in_the_system(1_500_000, Some(GIVE_UP_AFTER + Duration::from_millis(800)))]
+#[case::in_the_process(12_000_000, None)]
+fn an_answer_being_read_survives_the_time_to_exit(
+    #[case] length: usize,
+    #[case] next_command_after: Option<Duration>,
+) {
+    /// The bytes of the answer besides its value.
+    const OTHER_BYTES: usize = 33 + 11 + 14 + 6;
+    let proxy = RunningProxy::new();
+    let mut client = proxy.connect();
+    client.write_all(&startup()).expect("write to the socket");
+    assert!(read_response(&mut client).is_some_and(|tags| tags.ends_with('Z')));
+    client.write_all(&request("long", &format!("long {length}"))).expect("write to the socket");
+    thread::sleep(Duration::from_millis(300));
+    proxy.process.terminate();
+    let mut sender = client.try_clone().expect("another handle of the socket");
+    let next = thread::spawn(move || {
+        let Some(delay) = next_command_after else { return };
+        thread::sleep(delay);
+        let _ = sender.write_all(&request("next", "1"));
+    });
+    let expected = OTHER_BYTES + length;
+    let span = GIVE_UP_AFTER + Duration::from_millis(3_000);
+    assert_eq!(read_slowly(&mut client, expected, span), expected);
+    next.join().expect("the thread ends");
+    drop(client);
+    proxy.assert_exits();
+}
