Tell the router the role that a streamed answer states at its end

Cause: the attempt of a streamed answer ends for the router with the first bytes, when nothing is stated yet; the report at the stream's end passed on the position alone (broker/streaming.rs, report_stream_position), so the role was read and dropped. Change: StatedState travels with every report, also what stands before the row; the stream's end is an event of its own (StreamFinished) with role, position and a write's commit. `primary` counts as of the answer's start, so a slow client's answer cannot restore a deposed member; `replica` counts from its arrival. Results of writes with remembered commits are no longer held back to the stream's end, where a `primary` in them counted as new. The start-up warning on socket diagnostics moves behind the line `started`, which tests expect first. The pattern of long_value_is_streamed_from_its_first_byte holds the new field too.

--- a/crates/protocol/src/member_response.rs
+++ b/crates/protocol/src/member_response.rs
@@ -68,6 +68,13 @@
     pub messages: Vec<u8>,
     /// The range of the column's value in `messages`.
     pub value: Range<usize>,
+    /// What the member stated about itself.
+    pub stated: StatedState,
+}
+
+/// What a member has stated about itself in a response so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedState {
     /// Whether the member is the primary of its group, if it stated its role.
     pub primary: Option<bool>,
     /// The log position of the member, or the commit position of a write, in Unix milliseconds.
@@ -85,6 +92,8 @@
         bytes: Vec<u8>,
         /// The number of bytes of the row that follow as chunks.
         remaining: usize,
+        /// What the member stated before the row. The complete response repeats it.
+        stated: StatedState,
     },
     /// The next part of a streamed row.
     StreamChunk(Vec<u8>),
@@ -107,8 +116,7 @@
     /// Whether a row is streamed regardless of its length.
     streams_any_row: bool,
     error_code: Option<[u8; 5]>,
-    primary: Option<bool>,
-    applied_ms: Option<i64>,
+    stated: StatedState,
 }
 
 /// Reads the responses of a member from the bytes of a connection.
@@ -197,7 +205,8 @@
         let arrived = self.take_stream_bytes().unwrap_or_default();
         let mut bytes = std::mem::take(&mut self.response.messages);
         bytes.extend_from_slice(&arrived);
-        ResponseEvent::StreamStarted { bytes, remaining: self.response.stream_remaining }
+        let PartialResponse { stream_remaining: remaining, stated, .. } = self.response;
+        ResponseEvent::StreamStarted { bytes, remaining, stated }
     }
 
     /// Takes the bytes of a streamed row that have arrived; `None` if there are none.
@@ -230,8 +239,7 @@
             kind: response.kind(self.accepts_no_row),
             messages: response.messages,
             value: response.value,
-            primary: response.primary,
-            applied_ms: response.applied_ms,
+            stated: response.stated,
         }
     }
 }
@@ -296,9 +304,9 @@
         let (value, _) = split_c_string(rest).ok_or(ProtocolError)?;
         let value = std::str::from_utf8(value).unwrap_or_default();
         match (name, value) {
-            (b"role", "primary") => self.primary = Some(true),
-            (b"role", "replica") => self.primary = Some(false),
-            (b"applied_ms", _) => self.applied_ms = parse_position(value),
+            (b"role", "primary") => self.stated.primary = Some(true),
+            (b"role", "replica") => self.stated.primary = Some(false),
+            (b"applied_ms", _) => self.stated.applied_ms = parse_position(value),
             _ => {}
         }
         Ok(())
--- a/crates/protocol/tests/member_response.rs
+++ b/crates/protocol/tests/member_response.rs
@@ -2,7 +2,7 @@
 
 use wharfplank_protocol::framing::{write_c_string, write_message};
 use wharfplank_protocol::member_response::{
-    MemberResponse, ProtocolError, ResponseEvent, ResponseKind, ResponseReader,
+    MemberResponse, ProtocolError, ResponseEvent, ResponseKind, ResponseReader, StatedState,
 };
 use wharfplank_protocol::row::{MAX_BUFFERED_ROW_BYTES, ROW_HEADER_BYTES};
 
@@ -98,7 +98,10 @@
             assert!(out == forwarded, "{value} in pieces of {piece}");
             assert_eq!(parts > 0, value > MAX_BUFFERED_ROW_BYTES, "{value} in pieces of {piece}");
             let complete = complete.expect("complete");
-            assert_eq!((complete.kind, complete.applied_ms), (ResponseKind::Row, Some(1_767_225_600_123)));
+            assert_eq!(
+                (complete.kind, complete.stated.applied_ms),
+                (ResponseKind::Row, Some(1_767_225_600_123))
+            );
             assert!(reader.buffer.capacity() <= 2 * MAX_BUFFERED_ROW_BYTES + 4096);
             assert!(!reader.has_partial_response() && !reader.is_streaming());
         }
@@ -118,12 +121,27 @@
     let events = feed(&mut reader, &input[first - 1..first], 1).expect("well formed");
     assert!(
         matches!(&events[..],
-        [ResponseEvent::StreamStarted { bytes, remaining: MAX_BUFFERED_ROW_BYTES }]
-        if bytes == &input[..first]),
+        [ResponseEvent::StreamStarted { bytes, remaining: MAX_BUFFERED_ROW_BYTES, stated }]
+        if bytes == &input[..first] && *stated == StatedState::default()),
         "{events:?}"
     );
 }
 
+/// Guards against a role that a member states before a long value and that is known only once the value has
+/// been read to its end.
+#[test]
+fn a_role_before_a_long_value_is_stated_at_its_start() {
+    let (_, input) = response(MAX_BUFFERED_ROW_BYTES + 1);
+    let role = [&b"S\0\0\0\x11"[..], b"role\0replica\0"].concat();
+    let mut reader = ResponseReader::default();
+    let events = feed(&mut reader, &[role, input].concat(), usize::MAX).expect("well formed");
+    let started = events.iter().find_map(|event| match event {
+        ResponseEvent::StreamStarted { stated, .. } => Some(*stated),
+        _ => None,
+    });
+    assert_eq!(started, Some(StatedState { primary: Some(false), applied_ms: None }));
+}
+
 /// Guards against invalid data that is forwarded as a value: lengths that are inconsistent or exceed the
 /// maximum, a second row, and a response without the end of its command.
 #[test]
@@ -189,7 +207,7 @@
             let (messages, streamed, end) = collect(feed(&mut reader, &bytes, piece).expect("well formed"));
             let end = end.expect("complete");
             assert_eq!((messages, streamed), (forwarded.clone(), 0));
-            assert_eq!((end.kind, end.applied_ms), (ResponseKind::NoRow, Some(1_767_225_600_123)));
+            assert_eq!((end.kind, end.stated.applied_ms), (ResponseKind::NoRow, Some(1_767_225_600_123)));
         }
     }
     assert!(feed(&mut ResponseReader::default(), &bytes, 9).is_err());
--- a/crates/proxy/src/broker/attempt_table.rs
+++ b/crates/proxy/src/broker/attempt_table.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use wharfplank_routing::{self as routing, AttemptOutcome, HostId, Micros, RequestId};
+use wharfplank_routing::{self as routing, AttemptOutcome, ClassId, HostId, Micros, RequestId, SessionKey};
 use wharfplank_transport::member_pool::AttemptStage;
 
 /// The key of an attempt: its request and its number within the request, counted from 0.
@@ -29,6 +29,9 @@
 /// An attempt whose response has not started to arrive.
 pub(super) struct InFlightAttempt {
     pub(super) host: HostId,
+    pub(super) class: ClassId,
+    /// Copied from the request, as is the class, since a commit counts even if the client has disconnected.
+    pub(super) session: Option<SessionKey>,
     pub(super) sent_at: Micros,
     /// The newest known log position of the member at the time of sending.
     pub(super) position_at_send: Option<Micros>,
--- a/crates/proxy/src/broker/attempts.rs
+++ b/crates/proxy/src/broker/attempts.rs
@@ -7,6 +7,7 @@
 use crate::config::SEND_MARGIN;
 use std::cell::Cell;
 use std::rc::Rc;
+use wharfplank_protocol::member_response::StatedState;
 use wharfplank_protocol::pipeline::FinalResponse;
 use wharfplank_routing::{
     self as routing, AttemptNo, AttemptOutcome, AttemptResult, HostId, Micros, RequestId,
@@ -104,8 +105,10 @@
                 let _ = events.send(ProxyEvent::StreamFinished { id, attempt, report }).await;
             }
         });
+        let (class, session) = (request.class, request.session);
         let position_at_send = self.negative_cache.position(host);
-        self.attempts.insert(key, InFlightAttempt { host, sent_at: now, position_at_send, stage, task });
+        let attempt = InFlightAttempt { host, class, session, sent_at: now, position_at_send, stage, task };
+        self.attempts.insert(key, attempt);
     }
 
     /// Ends an attempt locally by closing its connection. An attempt whose report is already queued
@@ -159,8 +162,7 @@
         self.store_attempt_outcome(key.request, attempt.host, outcome);
         self.gossip.report_reachability(attempt.host, attempt.sent_at, outcome);
         let result = self.attempt_result(key, attempt.host, attempt.sent_at, &report);
-        self.gossip.report_position(self.clock.now(), attempt.host, result.position);
-        self.negative_cache.on_position(attempt.host, result.position);
+        self.report_position(attempt.host, result.position);
         self.notify_router(routing::Event::AttemptFinished(result));
     }
 
@@ -176,11 +178,11 @@
     fn serve_answer(&mut self, id: RequestId, attempt: &InFlightAttempt, report: &mut AttemptReport) {
         let Some(answer) = &mut report.response else { return };
         self.update_negative_cache(id, attempt.position_at_send, answer);
-        self.record_served(id, attempt.host, answer.primary);
+        self.record_served(id, attempt.host, answer.stated.primary);
         self.answer(id, FinalResponse::Served(std::mem::take(&mut answer.messages)));
     }
 
-    /// Converts an attempt's report to the router's representation. A position ahead of the clock is omitted.
+    /// Converts an attempt's report to the router's representation.
     pub(super) fn attempt_result(
         &self,
         key: AttemptKey,
@@ -188,19 +190,28 @@
         sent_at: Micros,
         report: &AttemptReport,
     ) -> AttemptResult {
-        let now = self.clock.now();
-        let answer = report.response.as_ref();
-        let position = answer.and_then(|answer| answer.applied_ms).map(|ms| ms.saturating_mul(1000));
-        let valid_positions = 1..=now + MAX_POSITION_AHEAD;
         AttemptResult {
             id: key.request,
             attempt: AttemptNo(key.number),
             host,
             outcome: report.outcome,
             terminal: !self.requests.contains(key.request),
-            latency: now - sent_at,
-            role: answer.and_then(|answer| answer.primary).map(role),
-            position: position.filter(|position| valid_positions.contains(position)),
+            latency: self.clock.now() - sent_at,
+            role: report.stated.primary.map(role),
+            position: self.stated_position(report.stated),
         }
     }
+
+    /// Returns the position that a member stated, unless it is ahead of the clock.
+    pub(super) fn stated_position(&self, stated: StatedState) -> Option<Micros> {
+        let position = stated.applied_ms?.saturating_mul(1000);
+        let valid_positions = 1..=self.clock.now() + MAX_POSITION_AHEAD;
+        valid_positions.contains(&position).then_some(position)
+    }
+
+    /// Reports the position that a member stated in an answer to the components beside the router.
+    pub(super) fn report_position(&mut self, host: HostId, position: Option<Micros>) {
+        self.gossip.report_position(self.clock.now(), host, position);
+        self.negative_cache.on_position(host, position);
+    }
 }
--- a/crates/proxy/src/broker/health_checks.rs
+++ b/crates/proxy/src/broker/health_checks.rs
@@ -35,8 +35,7 @@
         self.counts.increment("probed", if result.answered { "ok" } else { "failed" }, "");
         self.recorder.record_health_check(host, result.answered);
         let position = result.position.filter(|_| result.answered);
-        self.gossip.report_position(self.clock.now(), host, position);
-        self.negative_cache.on_position(host, position);
+        self.report_position(host, position);
         let sent_at = self.clock.now() - HEALTH_CHECK_TIMEOUT.as_micros() as Micros;
         self.gossip.report_reachability(
             host,
--- a/crates/proxy/src/broker/mod.rs
+++ b/crates/proxy/src/broker/mod.rs
@@ -122,7 +122,7 @@
             counts: ActivityCounts::new(),
             requests: RequestTable::default(),
             attempts: AttemptTable::default(),
-            streaming: StreamingAttempts::new(&config.settings),
+            streaming: StreamingAttempts::default(),
             endpoints: EndpointTable::default(),
             lifecycle: Lifecycle::new(now, config.settings.seed, config.parameters.connect_timeout),
             timers: MaintenanceTimers::new(now),
--- a/crates/proxy/src/broker/request_table.rs
+++ b/crates/proxy/src/broker/request_table.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use wharfplank_protocol::pipeline::RequestNumber;
-use wharfplank_routing::{AttemptOutcome, ClassId, GroupId, HostId, Micros, RequestId};
+use wharfplank_routing::{AttemptOutcome, ClassId, GroupId, HostId, Micros, RequestId, SessionKey};
 use wharfplank_transport::client_connection::ResponseWriter;
 use wharfplank_transport::Statement;
 
@@ -20,6 +20,7 @@
     pub(super) attempts: u32,
     pub(super) class: ClassId,
     pub(super) group: GroupId,
+    pub(super) session: Option<SessionKey>,
     /// The key that the request reads or writes, if the negative cache needs it.
     pub(super) touched_key: Option<wharfplank_negative_cache::Lookup>,
     pub(super) arrived_at: Micros,
--- a/crates/proxy/src/broker/requests.rs
+++ b/crates/proxy/src/broker/requests.rs
@@ -91,6 +91,7 @@
             attempts: 0,
             class: request.class,
             group: request.group,
+            session: request.session,
             touched_key,
             arrived_at: self.clock.to_micros(received.arrived_at),
             attempt_outcomes: Vec::new(),
--- a/crates/proxy/src/startup/mod.rs
+++ b/crates/proxy/src/startup/mod.rs
@@ -64,9 +64,6 @@
     let budgets = context.start_budgets()?;
     let pool_context = context.member_pool_context(&config, limits, budgets.clone());
     let clients = context.client_listener(&config, limits);
-    if !clients.measures_delivery() {
-        log::delivery_unmeasured();
-    }
     let watch = context.watch_discovery(&config, budgets);
     let recorder = DecisionRecorder::start(settings.records.as_ref(), &config, context.clock)?;
     let mut broker = Broker::new(
@@ -86,6 +83,9 @@
     // The operating system accepts clients from here on, so nothing after this may fail.
     let ListeningSocket { listener, handover_path, inherited } = client_socket.listen()?;
     let admin_calls = context.serve_admin(admin_listener);
+    if !clients.measures_delivery() {
+        log::delivery_unmeasured();
+    }
     if let Some(path) = handover_path {
         broker.enable_handover(path, Rc::clone(&listener), limits, inherited);
     }
--- a/crates/routing/src/api/events.rs
+++ b/crates/routing/src/api/events.rs
@@ -105,6 +105,25 @@
     pub position: Option<Micros>,
 }
 
+/// What a member stated about itself in a streamed answer. Its attempt ended when the answer started.
+#[derive(Clone, Debug)]
+pub struct StreamedState {
+    /// The member.
+    pub host: HostId,
+    /// The class of the request.
+    pub class: ClassId,
+    /// The client's session, if it has one.
+    pub session: Option<SessionKey>,
+    /// When the attempt was sent.
+    pub sent_at: Micros,
+    /// When the answer started.
+    pub started_at: Micros,
+    /// The member's role, if the answer states it.
+    pub role: Option<Role>,
+    /// The member's log position, or the commit time of a write.
+    pub position: Option<Micros>,
+}
+
 /// The result of a probe.
 #[derive(Clone, Debug)]
 pub struct ProbeResult {
@@ -135,6 +154,8 @@
     RequestOverQuota(Request),
     /// An attempt ended.
     AttemptFinished(AttemptResult),
+    /// The answer to an attempt that has already ended was streamed completely.
+    StreamFinished(StreamedState),
     /// A probe ended.
     ProbeFinished(ProbeResult),
     /// A timer has expired.
--- a/crates/routing/src/policy/attempts.rs
+++ b/crates/routing/src/policy/attempts.rs
@@ -3,7 +3,10 @@
 use super::member::AttemptInFlight;
 use super::outliers::{FaultKind, CONNECT_FAILED_SCORE, OVERLOADED_SCORE, RESET_SCORE};
 use super::probes::OVERLOADED_PRESSURE;
-use super::{AttemptOutcome, AttemptResult, Consistency, GroupId, HostId, Role, Router};
+use super::{
+    AttemptOutcome, AttemptResult, Consistency, GroupId, HostId, Micros, Role, Router, SessionKey,
+    StreamedState,
+};
 
 /// The weight of one answer in the typical latency of its class.
 const TYPICAL_LATENCY_WEIGHT: f64 = 0.02;
@@ -85,6 +88,31 @@
         self.dispatch_queued(finished.group);
     }
 
+    /// Records what a member stated in an answer that was streamed. The transfer may take long, and the
+    /// member may have stated its role at any time during it.
+    pub(super) fn on_stream_finished(&mut self, state: &StreamedState) {
+        let now = self.now;
+        self.member_clock.observe(state.position, now);
+        let is_write = self.settings.classes[state.class.0].consistency == Consistency::Write;
+        let Some(member) = self.members.get_mut(&state.host) else { return };
+        // Newer evidence that the member is a replica outweighs what it stated as a primary before, while
+        // evidence that it is a replica counts from now on.
+        let role_at = if state.role == Some(Role::Primary) { state.started_at } else { now };
+        member.roles.observe(state.role, role_at);
+        let position = match state.role {
+            Some(Role::Primary) if !is_write => Some(state.sent_at),
+            _ => state.position,
+        };
+        if let Some(position) = position {
+            member.position.raise_to(position, now);
+        }
+        let group = member.group;
+        if let (true, Some(commit)) = (is_write, state.position) {
+            self.remember_commit(state.session, commit);
+        }
+        self.dispatch_queued(group);
+    }
+
     /// Removes the attempt from those in flight; `None` if it is not one of them.
     fn take_finished<'a>(&mut self, result: &'a AttemptResult) -> Option<FinishedAttempt<'a>> {
         let group = self.members.get(&result.host)?.group;
@@ -195,11 +223,19 @@
 
     /// Stores the commit for the session's later reads, unless clients carry session tokens.
     fn record_commit(&mut self, finished: &FinishedAttempt) {
-        let is_commit = finished.is_write && finished.is_served();
-        if !is_commit || self.settings.sessions_carry_tokens {
+        if !finished.is_write || !finished.is_served() {
+            return;
+        }
+        if let Some(commit) = finished.result.position {
+            self.remember_commit(finished.attempt.session, commit);
+        }
+    }
+
+    fn remember_commit(&mut self, session: Option<SessionKey>, commit: Micros) {
+        if self.settings.sessions_carry_tokens {
             return;
         }
-        if let (Some(session), Some(commit)) = (finished.attempt.session, finished.result.position) {
+        if let Some(session) = session {
             self.session_commits.record(session, commit);
         }
     }
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -51,7 +51,7 @@
     Action, AttemptNo, AttemptOutcome, AttemptResult, Class, ClassId, Consistency, Endpoint, EndpointStatus,
     Event, GroupId, HostId, Idempotency, LearnedTraits, MemberView, Micros, PeerObservation, ProbePurpose,
     ProbeResult, RejectReason, Request, RequestId, Role, SessionKey, Settings, SlowStartSends, SlowStartView,
-    StaleReadPolicy,
+    StaleReadPolicy, StreamedState,
 };
 use admission::ValueDensity;
 use attempts::MIN_TYPICAL_LATENCY;
@@ -149,6 +149,7 @@
             Event::Request(request) => self.on_request(request),
             Event::RequestOverQuota(request) => self.on_request_over_quota(request),
             Event::AttemptFinished(result) => self.on_attempt_finished(&result),
+            Event::StreamFinished(state) => self.on_stream_finished(&state),
             Event::ProbeFinished(result) => self.on_probe_finished(&result),
             Event::Timer => self.on_timer(),
             Event::ClientDisconnected(id) => {
--- a/crates/transport/src/member_pool/attempt.rs
+++ b/crates/transport/src/member_pool/attempt.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wharfplank_protocol::member_request;
-use wharfplank_protocol::member_response::{ResponseEvent, ResponseKind};
+use wharfplank_protocol::member_response::{ResponseEvent, ResponseKind, StatedState};
 use wharfplank_routing::AttemptOutcome;
 
 /// The query for a member's load report.
@@ -108,8 +108,8 @@
         }
         match with_deadline(limits.deadline, connection.read_event()).await {
             Some(Ok(ResponseEvent::Complete(response))) => connection.complete(response).into(),
-            Some(Ok(ResponseEvent::StreamStarted { bytes: first, remaining })) => {
-                self.begin_stream(connection, first, remaining)
+            Some(Ok(ResponseEvent::StreamStarted { bytes: first, remaining, stated })) => {
+                self.begin_stream(connection, first, remaining, stated)
             }
             // A chunk cannot precede the start of its stream.
             Some(Ok(ResponseEvent::StreamChunk(_))) => AttemptOutcome::Error.into(),
@@ -158,11 +158,17 @@
         connection: MemberConnection,
         first: Vec<u8>,
         remaining: usize,
+        stated: StatedState,
     ) -> AttemptCompletion {
         self.last_response.set(Instant::now());
         let (stream, sender) = response_stream::channel(first, remaining, &self.context.memory_budget);
         AttemptCompletion {
-            report: AttemptReport { outcome: AttemptOutcome::Ok, response: None, stream: Some(stream) },
+            report: AttemptReport {
+                outcome: AttemptOutcome::Ok,
+                response: None,
+                stated,
+                stream: Some(stream),
+            },
             forwarder: Some(StreamForwarder::new(connection, sender)),
         }
     }
--- a/crates/transport/src/member_pool/connection.rs
+++ b/crates/transport/src/member_pool/connection.rs
@@ -215,6 +215,7 @@
             let pool = Rc::clone(&self.pool);
             pool.settle_and_release(self);
         }
-        AttemptReport { outcome, response: Some(response), stream: None }
+        let stated = response.stated;
+        AttemptReport { outcome, response: Some(response), stated, stream: None }
     }
 }
--- a/crates/transport/src/member_pool/report.rs
+++ b/crates/transport/src/member_pool/report.rs
@@ -2,7 +2,7 @@
 
 use super::StreamForwarder;
 use crate::response_stream::ResponseStream;
-use wharfplank_protocol::member_response::MemberResponse;
+use wharfplank_protocol::member_response::{MemberResponse, StatedState};
 use wharfplank_routing::AttemptOutcome;
 
 /// The result of an attempt.
@@ -12,6 +12,8 @@
     pub outcome: AttemptOutcome,
     /// The member's complete response, if it sent one.
     pub response: Option<MemberResponse>,
+    /// What the member stated about itself, so far if its response has only started.
+    pub stated: StatedState,
     /// A successful response that has started. It is streamed to the client, and a second report follows when
     /// it ends.
     pub stream: Option<ResponseStream>,
@@ -20,7 +22,7 @@
 impl AttemptReport {
     /// Creates the report of an attempt that ended without a response.
     pub fn without_response(outcome: AttemptOutcome) -> Self {
-        AttemptReport { outcome, response: None, stream: None }
+        AttemptReport { outcome, response: None, stated: StatedState::default(), stream: None }
     }
 }
 
--- a/tests/undelivered_output.rs
+++ b/tests/undelivered_output.rs
@@ -106,8 +106,8 @@
     drop(client);
 }
 
-/// Reads a response and ReadyForQuery of `length` bytes at a steady pace, over `span`. Returns the number of
-/// bytes that arrived.
+/// Reads a response of `length` bytes at a steady pace, over `span`. Returns the number of bytes that
+/// arrived.
 fn read_slowly(client: &mut TcpStream, length: usize, span: Duration) -> usize {
     let since = Instant::now();
     let (mut received, mut piece) = (0, vec![0; 65_536]);
