Hold a session's reads to each of its writes that may have been committed

Cause: a write counted only once its answer had been read as served with a commit (record_commit). In flight, ended without an answer, answered with an error, or answered by a stream that had only begun or was dropped, it counted as not made. Change: SessionWrites (policy/sessions.rs) counts a session's writes in flight and keeps its latest commit and the time until which an unknown one may commit (an error's arrival; else the deadline told and 0.5 s). A read needs what may have been committed when it arrived; writes that cannot have run count for nothing. Not measured: the share of session reads at the primary.

--- a/crates/routing/src/policy/attempts.rs
+++ b/crates/routing/src/policy/attempts.rs
@@ -3,10 +3,7 @@
 use super::member::AttemptInFlight;
 use super::outliers::{FaultKind, CONNECT_FAILED_SCORE, OVERLOADED_SCORE, RESET_SCORE};
 use super::probes::OVERLOADED_PRESSURE;
-use super::{
-    AttemptOutcome, AttemptResult, Consistency, GroupId, HostId, Micros, Role, Router, SessionKey,
-    StreamedState,
-};
+use super::{AttemptOutcome, AttemptResult, Consistency, GroupId, HostId, Role, Router, StreamedState};
 
 /// The weight of one answer in the typical latency of its class.
 const TYPICAL_LATENCY_WEIGHT: f64 = 0.02;
@@ -82,7 +79,7 @@
         self.record_load(&finished);
         self.record_answer(&finished);
         self.record_primary_search(&finished);
-        self.record_commit(&finished);
+        self.record_session_write(&finished.attempt, finished.result);
         self.evaluate_suspicion(finished.host(), finished.fault_kind());
         self.continue_request(&finished);
         self.dispatch_queued(finished.group);
@@ -107,8 +104,9 @@
             member.position.raise_to(position, now);
         }
         let group = member.group;
-        if let (true, Some(commit)) = (is_write, state.position) {
-            self.remember_commit(state.session, commit);
+        let session = self.remembered_session(state.class, state.session);
+        if let Some((session, commit)) = session.zip(state.position) {
+            self.session_writes.record_commit(session, commit);
         }
         self.dispatch_queued(group);
     }
@@ -221,25 +219,6 @@
         }
     }
 
-    /// Stores the commit for the session's later reads, unless clients carry session tokens.
-    fn record_commit(&mut self, finished: &FinishedAttempt) {
-        if !finished.is_write || !finished.is_served() {
-            return;
-        }
-        if let Some(commit) = finished.result.position {
-            self.remember_commit(finished.attempt.session, commit);
-        }
-    }
-
-    fn remember_commit(&mut self, session: Option<SessionKey>, commit: Micros) {
-        if self.settings.sessions_carry_tokens {
-            return;
-        }
-        if let Some(session) = session {
-            self.session_commits.record(session, commit);
-        }
-    }
-
     /// Ends the request, or prepares it for a retry and dispatches it.
     fn continue_request(&mut self, finished: &FinishedAttempt) {
         let result = finished.result;
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -62,7 +62,7 @@
 use member_clock::MemberClock;
 use request_work::RequestWork;
 use requests::PendingRequest;
-use sessions::SessionCommits;
+use sessions::SessionWrites;
 use slow_start::WarmAnswerRate;
 use std::collections::BTreeMap;
 
@@ -85,7 +85,7 @@
     members: BTreeMap<HostId, Member>,
     groups: BTreeMap<GroupId, Group>,
     pending: BTreeMap<RequestId, PendingRequest>,
-    session_commits: SessionCommits,
+    session_writes: SessionWrites,
     /// The fraction of the reads that each zone may take; `None` if the fleet does not set zone shares.
     zone_read_shares: Option<BTreeMap<u32, f64>>,
     /// The factors by which the latency of outliers is multiplied when reads are routed.
@@ -158,7 +158,7 @@
             Event::StopSending => self.sending_stopped = true,
             Event::Shutdown => self.give_up_all(),
             Event::ZoneReadShares(shares) => self.zone_read_shares = Some(shares.into_iter().collect()),
-            Event::SessionsCommittedElsewhere(until) => self.session_commits.raise_floor(until),
+            Event::SessionsCommittedElsewhere(until) => self.session_writes.raise_floor(until),
             Event::PeerObservations(observations) => self.on_peer_observations(&observations),
             Event::LatencyFactors(factors) => self.latency_factors = factors.into_iter().collect(),
             Event::RetriesAllowed(allowed) => self.retries_forbidden = !allowed,
--- a/crates/routing/src/policy/read_routing.rs
+++ b/crates/routing/src/policy/read_routing.rs
@@ -35,7 +35,7 @@
             Consistency::Session if self.settings.sessions_carry_tokens => {
                 request.last_write_age.map(|age| pending.arrived_at.saturating_sub(age))
             }
-            Consistency::Session => self.session_commits.required_by(request.session),
+            Consistency::Session => self.session_writes.required_by(request.session, pending.arrived_at),
             Consistency::Strong | Consistency::Write => Some(pending.arrived_at),
         })
     }
--- a/crates/routing/src/policy/requests.rs
+++ b/crates/routing/src/policy/requests.rs
@@ -158,16 +158,24 @@
         let Some(class) = self.pending.get(&id).map(|pending| pending.request.class) else { return };
         let permits = self.members.get(&host).and_then(|member| self.slow_start_permits(host, member, class));
         self.record_slow_start_send(host, permits);
-        let Some(pending) = self.pending.get_mut(&id) else { return };
-        let Some(member) = self.members.get_mut(&host) else { return };
-        member.in_flight.push(AttemptInFlight {
+        let Some(pending) = self.pending.get(&id).filter(|_| self.members.contains_key(&host)) else {
+            return;
+        };
+        let attempt = AttemptInFlight {
             id,
             attempt: AttemptNo(pending.attempts),
             class: pending.request.class,
             session: pending.request.session,
             sent_at: now,
+            deadline: pending.request.deadline,
             cancelled: false,
-        });
+        };
+        if let Some(session) = self.remembered_session(attempt.class, attempt.session) {
+            self.session_writes.begin(session);
+        }
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(member) = self.members.get_mut(&host) else { return };
+        member.in_flight.push(attempt);
         pending.attempts += 1;
         pending.in_flight_at = Some(host);
         pending.position_probe = None;
--- a/tests/common/fake_member.rs
+++ b/tests/common/fake_member.rs
@@ -73,7 +73,8 @@
             "reset" => return None,
             // A row of this many bytes.
             requested if requested.starts_with("long ") => {
-                let length = requested["long ".len()..].parse().expect("the length of a value");
+                let length = requested.split(' ').nth(1).and_then(|length| length.parse().ok());
+                let length = length.expect("the length of a value");
                 stream
                     .write_all(&[parts[0].clone(), row(length), parts[2].clone(), ready.clone()].concat())
                     .ok()?;
