A new process waits 5 s for the state of an old one that lives

Cause: no answer of the old process within 1.5 s was treated like no old process (handover/request.rs), so the new one started without the cordons, the sessions' floor and what was learnt. Evidence: with the old process stopped for 3 s, the new test found no cordoned member at the new one; it passes with the wait. Change: an absent or ending process is still known at once; one that does not answer gets 5 s, so that a start fits into its 10 s, and the log says so after 1.5 s and when the start goes on without the state.

--- a/crates/proxy/src/startup/sockets.rs
+++ b/crates/proxy/src/startup/sockets.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use wharfplank_protocol::endpoint_list::{self, EndpointList};
-use wharfplank_transport::handover::{self, Inherited};
+use wharfplank_transport::handover::{self, Inherited, WaitStep};
 use wharfplank_transport::socket::listener::{AddressUse, BoundSocket};
 
 /// The socket for clients before the start is complete.
@@ -44,7 +44,7 @@
         let address = config.listen;
         let handover_path = can_be_replaced(config).then(|| handover::socket_path(address));
         let inherited = match handover_path.as_deref() {
-            Some(path) => handover::request(path).map_err(StartError::handover(address))?,
+            Some(path) => handover::request(path, log_wait).map_err(StartError::handover(address))?,
             None => None,
         };
         let address_use = if handover_path.is_some() { AddressUse::Shared } else { AddressUse::Exclusive };
@@ -77,6 +77,15 @@
     }
 }
 
+/// Logs a wait for the predecessor.
+fn log_wait(step: WaitStep) {
+    let step = match step {
+        WaitStep::SlowReply => "awaits the other",
+        WaitStep::NoReply => "the other does not answer",
+    };
+    log::handover_step(step, 0);
+}
+
 /// Returns whether this process can be replaced while it serves. This requires admin access, since otherwise
 /// nothing else may listen, and a fixed port, since a successor cannot know a port assigned by the system.
 fn can_be_replaced(config: &Config) -> bool {
--- a/crates/transport/src/handover.rs
+++ b/crates/transport/src/handover.rs
@@ -16,7 +16,7 @@
 
 pub use link::{reject, HandoverLink};
 pub use rendezvous::{socket_path, RendezvousSocket};
-pub use request::{request, HandoverError, Inherited};
+pub use request::{request, HandoverError, Inherited, WaitStep};
 
 use async_io::Async;
 use std::os::unix::net::UnixStream;
--- a/crates/transport/src/handover/request.rs
+++ b/crates/transport/src/handover/request.rs
@@ -11,13 +11,17 @@
 use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use wharfplank_admin::handover::PROTOCOL_VERSION;
 use wharfplank_admin::HandoverState;
 
-/// The time limit for the complete reply of the running process. The new process waits for it at its start.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The time limit for the complete reply of the running process, which may be suspended or short of CPU time.
+/// The new process waits for it at its start, since without the reply it would not know the cordons.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time without a reply after which the wait is reported.
+const SLOW_REPLY_TIME: Duration = Duration::from_millis(1_500);
 
 /// The reason why a handover did not take place.
 #[derive(Debug, Error)]
@@ -55,21 +59,44 @@
     }
 }
 
-/// Requests a handover from the process that accepts requests on this path.
+/// What a new process learns from its wait for the running one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitStep {
+    /// The running process has not replied for a while.
+    SlowReply,
+    /// The running process has not replied in time, or has ended or replied something unknown. The new
+    /// process starts without its state.
+    NoReply,
+}
+
+/// Requests a handover from the process that accepts requests on this path, and reports a long wait.
 ///
-/// Returns `Ok(None)` if there is no such process, or if it does not send a complete reply of a supported
-/// version within 1.5 s.
+/// Returns `Ok(None)` if there is no such process, or if it ends, or does not send a complete reply of a
+/// supported version within [`REPLY_TIMEOUT`].
 ///
 /// # Errors
 ///
 /// Fails with [`HandoverError::AlreadyReplaced`] if another process is already taking over.
-pub fn request(path: &Path) -> Result<Option<Inherited>, HandoverError> {
+pub fn request(path: &Path, report: impl Fn(WaitStep)) -> Result<Option<Inherited>, HandoverError> {
     let Ok(stream) = open::retry_at_start(|| UnixStream::connect(path)) else { return Ok(None) };
-    let reply = with_deadline(Instant::now() + REPLY_TIMEOUT, receive(stream));
-    match async_io::block_on(reply) {
+    let started = Instant::now();
+    let mut reply = pin!(receive(stream));
+    let received = async_io::block_on(async {
+        match with_deadline(started + SLOW_REPLY_TIME, reply.as_mut()).await {
+            Some(received) => Some(received),
+            None => {
+                report(WaitStep::SlowReply);
+                with_deadline(started + REPLY_TIMEOUT, reply).await
+            }
+        }
+    });
+    match received {
         Some(Ok(inherited)) => Ok(Some(inherited)),
         Some(Err(error @ HandoverError::AlreadyReplaced)) => Err(error),
-        Some(Err(_)) | None => Ok(None),
+        Some(Err(_)) | None => {
+            report(WaitStep::NoReply);
+            Ok(None)
+        }
     }
 }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Clients that open one connection after another, with one request on each, until they are stopped.
 struct Load {
@@ -164,6 +164,53 @@
     assert_eq!(request_once(port, "next").as_deref(), Some("TDCZ"));
 }
 
+/// Guards against a cordoned member that gets requests after an upgrade because the old process was too slow
+/// to hand over the cordon.
+#[test]
+fn a_suspended_process_hands_over_its_cordons_when_it_continues() {
+    let folder = tempfile::tempdir().expect("temporary directory");
+    let ((first_address, _), (second_address, second_statements)) = (start_member(), start_member());
+    let members = [("m1", first_address.as_str()), ("m2", second_address.as_str())];
+    let port = free_port();
+    let old = Process::start(folder.path(), port, &members);
+    old.wait_until_ready();
+    assert_eq!(old.admin_command("cordon m2").as_deref(), Some("ok cordoned"));
+    let before = second_statements.load(Ordering::Relaxed);
+    old.signal("-STOP");
+    let new = Process::start(folder.path(), port, &members);
+    thread::sleep(Duration::from_secs(3));
+    old.signal("-CONT");
+    new.wait_until_ready();
+    let counters = new.admin_command("counters").expect("a response");
+    assert!(counters.contains(r#""targets":2,"targets_disabled":1"#), "{counters}");
+    old.terminate();
+    let load = Load::start(port);
+    load.wait_for_served(50);
+    assert_eq!(load.finish(), [], "requests that were not served");
+    assert_eq!(second_statements.load(Ordering::Relaxed), before, "the cordoned member received requests");
+}
+
+/// Guards against a new process that waits in vain for an old one that dies without an answer.
+#[test]
+fn a_new_process_starts_when_a_suspended_one_is_killed() {
+    /// The time in which a restarted process must be ready.
+    const READY_TIME: Duration = Duration::from_secs(10);
+    let folder = tempfile::tempdir().expect("temporary directory");
+    let (address, _) = start_member();
+    let (members, port) = ([("m1", address.as_str())], free_port());
+    let mut old = Process::start(folder.path(), port, &members);
+    old.wait_until_ready();
+    old.signal("-STOP");
+    let since = Instant::now();
+    let new = Process::start(folder.path(), port, &members);
+    thread::sleep(Duration::from_millis(500));
+    old.child.kill().expect("kill the process");
+    old.child.wait().expect("the process exits");
+    new.wait_until_ready();
+    assert!(since.elapsed() < READY_TIME, "{:?}", since.elapsed());
+    assert_eq!(request_once(port, "next").as_deref(), Some("TDCZ"));
+}
+
 /// Sends one write on a new connection and returns the message tags of its response.
 fn write_once(port: u16, id: &str) -> Option<String> {
     let mut stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
