A start that the endpoint list tells ends a primary's last word on its role

Cause: a word as primary counted until a newer answer. The list's new start was used for slow start and suspicion only. Change: update_endpoint drops a word as primary that is older than the start, compared on the members' clock.

--- a/crates/routing/src/policy/membership.rs
+++ b/crates/routing/src/policy/membership.rs
@@ -107,6 +107,7 @@
             member.faults.reset();
             member.latency.reset();
             self.restart_slow_start(endpoint.host, endpoint.started_at.unwrap_or(now));
+            self.forget_role_before_start(endpoint);
         }
         let Some(member) = self.members.get_mut(&endpoint.host) else { return };
         // The list may be old, so any more recent answer takes precedence.
@@ -117,6 +118,16 @@
         self.groups.entry(member.group).or_default().members.insert(endpoint.host);
     }
 
+    /// Forgets that a member was the primary if its process has started since: it may have come back as a
+    /// replica, and its answers that say so may be lost.
+    fn forget_role_before_start(&mut self, endpoint: &Endpoint) {
+        let Some(started_at) = endpoint.started_at else { return };
+        let Some(member) = self.members.get_mut(&endpoint.host) else { return };
+        if self.member_clock.earliest_now(member.roles.primary_at) < started_at {
+            member.roles.primary_at = 0;
+        }
+    }
+
     /// Applies observations of other routers. A position is a lower bound and does not show that the member
     /// is alive. A member suspected by another router is scored like one refused connection, unless it has
     /// answered this router since.
