A connection still being read takes no command once the listener has closed

Cause: a connection that stays open for its delivery went on taking commands until SIGKILL. A send queue counts the end of the stream as a byte, and for a connection that has just ended the system describes the listening socket, whose queue length is its backlog of 4,096. A fewest count of undelivered bytes outlived the output that it was of. Change: past the listener's close the sending side is shut behind the output and input stays unread, so that the client sends it elsewhere; before, commands are served. The queue's length leaves out the end of the stream and listening sockets. Output written anew starts its own count. A client's half-close does not end the wait for its delivery any more. Tests: a_command_behind_an_answer_being_read_is_left_unread_once_the_listener_has_closed; the end of the stream in send_queue.rs. Tests of undelivered output, shutdown, close and descriptors pass.

--- a/crates/transport/src/client_connection/delivery.rs
+++ b/crates/transport/src/client_connection/delivery.rs
@@ -14,10 +14,10 @@
 /// output.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// The progress of the delivery, as of the last check.
+/// The progress of the delivery since the last output was written, as of the last check.
 #[derive(Debug, Default)]
 pub(super) struct DeliveryProgress {
-    /// The fewest undelivered bytes seen since the output was last known to be delivered, and when.
+    /// The fewest undelivered bytes seen, and when; `None` while nothing was left.
     lowest: Option<(usize, Instant)>,
 }
 
@@ -49,14 +49,14 @@
     }
 
     /// Ends the output of a connection that accepts no more commands, and keeps it open until the output was
-    /// delivered. Input stays unread meanwhile.
+    /// delivered. Input stays unread meanwhile, so that a client that sees the end sends it again elsewhere.
     pub(super) async fn finish_delivery(&mut self, listener: &ClientListener, reason: CloseReason) {
         if !reason.client_may_still_read() || !self.is_delivering(listener) {
             return;
         }
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
         let deadline = Instant::now() + DELIVERY_TIMEOUT;
-        while self.is_delivering(listener) && Instant::now() < deadline && !self.has_disconnected() {
+        while self.is_delivering(listener) && Instant::now() < deadline {
             Timer::after(DELIVERY_CHECK_INTERVAL).await;
         }
     }
--- a/crates/transport/src/client_connection/output.rs
+++ b/crates/transport/src/client_connection/output.rs
@@ -1,5 +1,6 @@
 //! Writing of responses in the order of their commands.
 
+use super::delivery::DeliveryProgress;
 use super::input::ReadMode;
 use super::streaming::StreamProgress;
 use super::{ClientConnection, CloseReason};
@@ -59,6 +60,7 @@
             }
             wrote = true;
             self.state.is_writing.set(true);
+            self.delivery = DeliveryProgress::default();
             if self.session.output.len() >= FLUSH_SIZE {
                 self.flush().await?;
             }
--- a/crates/transport/src/client_connection/wait.rs
+++ b/crates/transport/src/client_connection/wait.rs
@@ -39,7 +39,9 @@
     has_open_commands: bool,
     /// The reason to close the connection, unless input has arrived.
     close: Option<CloseReason>,
-    /// When to check again whether the connection can close, if output is still being delivered.
+    /// Whether the last output is still being delivered, known only if the connection is to close.
+    is_delivering: bool,
+    /// When to check again whether the connection can close, if it waits for the delivery.
     recheck_at: Option<Instant>,
     /// The time limit of the wait.
     deadline: Option<Instant>,
@@ -101,12 +103,14 @@
         let first_deadline = before_first_command.then_some(self.accepted_at + FIRST_COMMAND_TIMEOUT);
         let message_deadline = self.message_started_at.map(|at| at + MESSAGE_TIMEOUT);
         let close = self.pending_close(listener, idle);
-        let recheck_at =
-            (close.is_some() && self.is_delivering(listener)).then(|| now + DELIVERY_CHECK_INTERVAL);
+        let is_delivering = close.is_some() && self.is_delivering(listener);
+        // Commands are accepted until the delivery ends, unless the process would not live to answer them.
+        let postpones_close = is_delivering && listener.drain_phase.get() != DrainPhase::Closed;
         WaitPlan {
             has_open_commands,
-            close: close.filter(|_| recheck_at.is_none()),
-            recheck_at,
+            close: close.filter(|_| !postpones_close),
+            is_delivering,
+            recheck_at: postpones_close.then(|| now + DELIVERY_CHECK_INTERVAL),
             deadline: [message_deadline, first_deadline, idle_deadline].into_iter().flatten().min(),
             timeout_reason: match (self.started, idle_deadline) {
                 (false, _) => CloseReason::StartupTimeout,
@@ -166,7 +170,7 @@
 
     fn on_notified(&self, plan: &WaitPlan) -> Result<(), CloseReason> {
         match plan.close {
-            Some(reason) if self.close_if_idle() => Err(reason),
+            Some(reason) if self.close_if_idle(plan.is_delivering) => Err(reason),
             _ => Ok(()),
         }
     }
@@ -181,7 +185,7 @@
             self.idle_since = Some(Instant::now());
             return Ok(());
         }
-        if self.close_if_idle() {
+        if self.close_if_idle(false) {
             Err(CloseReason::IdleTimeout)
         } else {
             Ok(())
@@ -195,9 +199,11 @@
 
     /// Closes an idle connection unless input has just arrived. A client that pipelines requests loses all
     /// but the first if its write crosses the close, and the process may be suspended by the scheduler at any
-    /// point, so the shutdown directly follows the check.
-    fn close_if_idle(&self) -> bool {
+    /// point, so the shutdown directly follows the check. While output is being delivered only the sending
+    /// side is shut down, since input to a closed connection would discard that output.
+    fn close_if_idle(&self, is_delivering: bool) -> bool {
         let stream = self.stream.get_ref();
-        peek::is_idle(stream) && stream.shutdown(Shutdown::Both).is_ok()
+        let direction = if is_delivering { Shutdown::Write } else { Shutdown::Both };
+        peek::is_idle(stream) && stream.shutdown(direction).is_ok()
     }
 }
--- a/crates/transport/src/socket/send_queue.rs
+++ b/crates/transport/src/socket/send_queue.rs
@@ -8,8 +8,10 @@
 use super::open::retry_at_start;
 use super::transient::{RetryDecision, SystemCall};
 use netlink_packet_core::{NetlinkHeader, NetlinkMessage, NetlinkPayload, NLM_F_REQUEST};
-use netlink_packet_sock_diag::constants::{AF_INET, AF_INET6, IPPROTO_TCP};
-use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, SocketId, StateFlags};
+use netlink_packet_sock_diag::constants::{
+    AF_INET, AF_INET6, IPPROTO_TCP, TCP_CLOSING, TCP_FIN_WAIT1, TCP_LAST_ACK, TCP_LISTEN,
+};
+use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, InetResponseHeader, SocketId, StateFlags};
 use netlink_packet_sock_diag::SockDiagMessage;
 use rustix::io::Errno;
 use rustix::net::netlink::{SocketAddrNetlink, SOCK_DIAG};
@@ -120,7 +122,7 @@
     }
     Some(match reply.payload {
         NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(socket)) => {
-            Ok(socket.header.send_queue as usize)
+            Ok(unacknowledged_output(&socket.header))
         }
         NetlinkPayload::Error(error) => match error.to_io() {
             // The connection does not exist any more.
@@ -131,6 +133,17 @@
     })
 }
 
+/// Returns the length of a send queue without the end of the stream, which counts as one byte. If the
+/// connection does not exist any more, the system describes the socket that listens on its address.
+fn unacknowledged_output(socket: &InetResponseHeader) -> usize {
+    let queued = socket.send_queue as usize;
+    match socket.state {
+        TCP_LISTEN => 0,
+        TCP_FIN_WAIT1 | TCP_CLOSING | TCP_LAST_ACK => queued.saturating_sub(1),
+        _ => queued,
+    }
+}
+
 /// Runs a call that does not wait, and repeats it if a signal interrupts it.
 fn retry_interrupted<T>(mut call: impl FnMut() -> Result<T, Errno>) -> io::Result<T> {
     for _ in 1..MAX_TRIES {
--- a/crates/transport/tests/send_queue.rs
+++ b/crates/transport/tests/send_queue.rs
@@ -1,7 +1,9 @@
 //! Reading of the send queues of connections.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Ipv6Addr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Ipv6Addr, Shutdown, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
 use wharfplank_transport::socket::send_queue::SendQueues;
 
 /// Writes until the system takes no more, and returns the number of bytes.
@@ -29,7 +31,27 @@
     let written = fill(&mut server);
     let waiting = queues.unacknowledged_bytes(&server).expect("a reply");
     assert!(waiting > 0 && waiting <= written, "{waiting} of {written}");
+    server.shutdown(Shutdown::Write).expect("open");
+    let without_end = queues.unacknowledged_bytes(&server).expect("a reply");
+    assert_eq!(without_end, waiting, "the end of the stream is no output");
     client.read_exact(&mut vec![0; written]).expect("all of the output");
     assert_eq!(queues.unacknowledged_bytes(&server).expect("a reply"), 0);
-    drop((client, server));
+}
+
+/// Guards against a connection that counts as undelivered for ever after its end, because the system then
+/// describes the listening socket, whose queue has a length too.
+#[test]
+fn a_connection_that_has_ended_has_no_output() {
+    let queues = SendQueues::open();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let client = TcpStream::connect(listener.local_addr().expect("local address")).expect("it listens");
+    let (mut server, _) = listener.accept().expect("a connection");
+    drop(client);
+    assert_eq!(server.read(&mut [0]).expect("the end of the stream"), 0);
+    server.shutdown(Shutdown::Write).expect("open");
+    let deadline = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < deadline {
+        assert_eq!(queues.unacknowledged_bytes(&server).expect("a reply"), 0);
+        thread::sleep(Duration::from_millis(10));
+    }
 }
--- a/tests/undelivered_output.rs
+++ b/tests/undelivered_output.rs
@@ -8,6 +8,7 @@
 use running_proxy::{read_response, request, sleep_until_elapsed, startup, RunningProxy};
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// The time after SIGTERM after which open requests are given up; the process exits soon after.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(3_200);
+/// The time after SIGTERM after which no connection is accepted.
+const CLOSE_LISTENER_AFTER: Duration = Duration::from_millis(700);
 /// The number of idle connections that leaves no room for another one that is idle for longer.
 const EVICTING_CONNECTIONS: usize = 70;
 
@@ -93,6 +96,20 @@
     assert_eq!(read_response(&mut client), None, "the connection ends with the error");
 }
 
+/// Guards against a process that accepts a command behind an answer being read when it will not live to
+/// answer it: after the listener has closed, the command is left to the client, which sends it elsewhere.
+#[test]
+fn a_command_behind_an_answer_being_read_is_left_unread_once_the_listener_has_closed() {
+    let proxy = RunningProxy::new();
+    let mut client = ask_for_long_answer(&proxy);
+    proxy.terminate();
+    thread::sleep(CLOSE_LISTENER_AFTER + Duration::from_millis(300));
+    assert_answer_survives_command(&mut client, &request("next", "1"));
+    assert_eq!(read_response(&mut client), None, "the connection ends behind the answer");
+    assert_eq!(proxy.statement_count.load(Ordering::Relaxed), 1, "statements at the member");
+    proxy.assert_exits();
+}
+
 /// Guards against a client that never reads and keeps its connection, and a process that ends, waiting for it
 /// without limit.
 #[test]
