--- a/crates/proxy/src/startup/descriptors.rs
+++ b/crates/proxy/src/startup/descriptors.rs
@@ -6,8 +6,8 @@
 
 /// Descriptors reserved for fixed uses: three standard streams, three of the reactor, two for signals, the
 /// listening socket and a connection just accepted, three of discovery while one connection replaces another,
-/// the socket diagnostics, and a file being read; also some client connections beyond their limit, and the sockets of optional
-/// components.
+/// the socket diagnostics, and a file being read; also some client connections beyond their limit, and the
+/// sockets of optional components.
 const RESERVED: usize = 24;
 /// Descriptors reserved for admin connections if they are enabled: the connections and their listening
 /// socket, the handover socket, and two of the link to the other process.
--- a/crates/routing/src/policy/member.rs
+++ b/crates/routing/src/policy/member.rs
@@ -32,7 +32,7 @@
     /// Copied from the request, since a commit counts for its session even if the client has disconnected.
     pub(super) session: Option<SessionKey>,
     pub(super) sent_at: Micros,
-    /// The deadline that the member was told.
+    /// The deadline of the request. The member is told no later one.
     pub(super) deadline: Micros,
     pub(super) cancelled: bool,
 }
--- a/crates/routing/src/policy/read_routing.rs
+++ b/crates/routing/src/policy/read_routing.rs
@@ -3,9 +3,9 @@
 
 use super::event_rate::AVERAGING_TIME_CONSTANT;
 use super::member::Member;
+use super::pending_request::PositionProbe;
 use super::random::unit_interval;
 use super::read_candidates::{Candidate, Candidates, RequiredPosition};
-use super::requests::PositionProbe;
 use super::{
     Consistency, GroupId, HostId, Micros, PendingRequest, ProbePurpose, RequestId, Router, StaleReadPolicy,
 };
--- a/crates/routing/src/policy/requests.rs
+++ b/crates/routing/src/policy/requests.rs
@@ -2,8 +2,8 @@
 //! giving up.
 
 use super::{
-    Action, AttemptInFlight, AttemptNo, Consistency, EndpointStatus, GroupId, HostId, Idempotency, Micros,
-    RejectReason, Request, RequestId, Role, Router, QUEUE_CHECK_INTERVAL,
+    Action, Consistency, EndpointStatus, GroupId, HostId, Idempotency, Micros, PendingRequest, RejectReason,
+    Request, RequestId, Role, Router,
 };
 use std::collections::BTreeSet;
 
@@ -13,46 +13,6 @@
 /// The Retry-After span of rejections. Overload and failovers last longer than a retry takes.
 const RETRY_AFTER: Micros = 2_000_000;
 
-/// A position probe that a read is waiting for.
-#[derive(Clone, Copy)]
-pub(super) struct PositionProbe {
-    pub(super) host: HostId,
-    pub(super) sent_at: Micros,
-}
-
-/// A request that has no final answer yet.
-pub(super) struct PendingRequest {
-    pub(super) request: Request,
-    pub(super) arrived_at: Micros,
-    /// The time from which on an answer has no value.
-    pub(super) useful_until: Micros,
-    pub(super) attempts: u32,
-    /// The member at which an attempt is in flight, if there is one.
-    pub(super) in_flight_at: Option<HostId>,
-    /// When the first attempt that may have run was sent.
-    pub(super) may_have_run_since: Option<Micros>,
-    /// The members at which attempts have failed.
-    pub(super) excluded: BTreeSet<HostId>,
-    pub(super) position_probe: Option<PositionProbe>,
-    /// Whether an attempt has reached a member.
-    pub(super) has_reached_member: bool,
-}
-
-impl PendingRequest {
-    /// The time until which members recognise a repeat of the request; `None` if no attempt may have run, or
-    /// if requests of this idempotency need no recognition.
-    fn repeat_recognised_until(&self, idempotency: Idempotency) -> Option<Micros> {
-        let Idempotency::Keyed { window, .. } = idempotency else { return None };
-        Some(self.may_have_run_since?.saturating_add(window) - QUEUE_CHECK_INTERVAL)
-    }
-
-    /// The fraction of the time from arrival to deadline that has passed.
-    fn waited_fraction(&self, now: Micros) -> f64 {
-        let time_allowed = (self.request.deadline - self.arrived_at).max(1);
-        (now - self.arrived_at) as f64 / time_allowed as f64
-    }
-}
-
 impl Router {
     /// Handles a client's request.
     pub(super) fn on_request(&mut self, request: Request) {
@@ -161,15 +121,7 @@
         let Some(pending) = self.pending.get(&id).filter(|_| self.members.contains_key(&host)) else {
             return;
         };
-        let attempt = AttemptInFlight {
-            id,
-            attempt: AttemptNo(pending.attempts),
-            class: pending.request.class,
-            session: pending.request.session,
-            sent_at: now,
-            deadline: pending.request.deadline,
-            cancelled: false,
-        };
+        let attempt = pending.next_attempt(now);
         if let Some(session) = self.remembered_session(attempt.class, attempt.session) {
             self.session_writes.begin(session);
         }
--- a/crates/transport/src/client_connection/input.rs
+++ b/crates/transport/src/client_connection/input.rs
@@ -132,7 +132,7 @@
     }
 
     /// Returns whether the client has disconnected, even if input precedes that.
-    pub(super) fn has_disconnected(&self) -> bool {
+    fn has_disconnected(&self) -> bool {
         const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
         let mut polled = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
         let result = poll(&mut polled, Some(&NO_WAIT));
