--- a/crates/proxy/src/broker/shutdown.rs
+++ b/crates/proxy/src/broker/shutdown.rs
@@ -44,7 +44,7 @@
             self.close_listener();
         }
         if !has_aborted_requests && now >= started_at + self.abort_delay() {
-            self.abort_open_requests(now);
+            self.abort_open_requests();
         }
     }
 
@@ -60,13 +60,9 @@
 
     /// Answers all open requests. Attempts that were not completely written are cancelled first: they have
     /// not been executed, so their requests are rejected instead of failed.
-    fn abort_open_requests(&mut self, now: Micros) {
-        let delay = self.abort_delay();
+    fn abort_open_requests(&mut self) {
         if let Some(shutdown) = &mut self.lifecycle.shutdown {
             shutdown.has_aborted_requests = true;
-            // If the process was stalled, requests are aborted late: the final responses still get their time
-            // to be written.
-            shutdown.started_at = now - delay;
         }
         self.log_shutdown_step(ShutdownStep::RequestsAborted);
         self.notify_router(routing::Event::StopSending);
@@ -78,6 +74,12 @@
         }
         self.report_finished_attempts();
         self.notify_router(routing::Event::Shutdown);
+        let delay = self.abort_delay();
+        if let Some(shutdown) = &mut self.lifecycle.shutdown {
+            // If the process was stalled, before this step or during it, requests are aborted late: the final
+            // responses still get their time to be written.
+            shutdown.started_at = self.clock.now() - delay;
+        }
     }
 
     fn log_shutdown_step(&self, step: ShutdownStep) {
