--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -272,11 +272,11 @@
 class Proxy:
     """One proxy, started by `run` of the deploy file, with a settings file of the program's own where `xml` is given."""
 
-    def __init__(self, case, name, discovery, zone="a", xml=None, listen=None, mgmt=None):
+    def __init__(self, case, name, discovery, zone="a", xml=None, listen=None, mgmt=None, memory_mb=192):
         self.case, self.name, self.mgmt = case, name, mgmt
         self.port = listen or free_port()
         self.config = {"name": name, "listen": "127.0.0.1:%d" % self.port, "discovery": discovery.address,
-                       "seed": os.urandom(8).hex(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                       "seed": os.urandom(8).hex(), "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
                        "known": discovery.whole, "settings": dict(SETTINGS, Az=zone)}
         self.path = os.path.join(case.tmp, name + ".json")
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as deploy:
