Claim a write from the other proxies before it is sent

Cause: the second proxy asks only its own copy of the doubts, and the first one reports a doubt when it answers or has read the close. The datagram comes some tenths of a millisecond later than a client that has a connection open.

Change: the write is claimed from a majority of at most three registrars, chosen by rendezvous hashing, before its first byte is sent; majorities overlap, so one claim is granted. A claim is released only if the write was certainly not executed, and a rejection waits for that release, 0.1 s at most. Without a majority within 0.1 s the write is rejected, unsent. Peers of an earlier version, which never answer, are not counted.

--- a/crates/proxy/src/broker/attempt_table.rs
+++ b/crates/proxy/src/broker/attempt_table.rs
@@ -55,11 +55,17 @@
     pub(super) max_attempts: u32,
     /// Whether an attempt that has started may be cancelled.
     pub(super) may_cancel: bool,
+    /// The maximum Retry-After span of a rejection.
+    pub(super) max_retry_after: Micros,
 }
 
 impl AttemptPolicy {
     pub(super) fn new(settings: &routing::Settings) -> Self {
-        AttemptPolicy { max_attempts: settings.max_attempts, may_cancel: settings.may_cancel }
+        AttemptPolicy {
+            max_attempts: settings.max_attempts,
+            may_cancel: settings.may_cancel,
+            max_retry_after: settings.max_retry_after,
+        }
     }
 }
 
--- a/crates/proxy/src/broker/attempts.rs
+++ b/crates/proxy/src/broker/attempts.rs
@@ -12,6 +12,7 @@
 use wharfplank_routing::{
     self as routing, AttemptNo, AttemptOutcome, AttemptResult, HostId, Micros, RequestId,
 };
+use wharfplank_shared_state::ClaimDecision;
 use wharfplank_transport::member_pool::{
     AttemptCompletion, AttemptLimits, AttemptReport, AttemptStage, MemberPool,
 };
@@ -86,6 +87,7 @@
         member: &Rc<MemberPool>,
         limits: AttemptLimits,
     ) {
+        let claim = self.claim_write(now, key.request);
         let Some(request) = self.requests.get(key.request) else { return };
         let stage: Rc<Cell<AttemptStage>> = Rc::default();
         let responses = Rc::clone(&request.responses);
@@ -97,6 +99,13 @@
         let task_stage = Rc::clone(&stage);
         let AttemptKey { request: id, number: attempt } = key;
         let task = self.pools.executor.spawn(async move {
+            if let Some(claim) = claim {
+                let decision = claim.decision().await;
+                if decision != ClaimDecision::Granted {
+                    let _ = events.send(ProxyEvent::ClaimRefused { id, attempt, decision }).await;
+                    return;
+                }
+            }
             let AttemptCompletion { report, forwarder } = work.await;
             task_stage.set(AttemptStage::Finished);
             let _ = events.send(ProxyEvent::AttemptFinished { id, attempt, report }).await;
--- a/crates/proxy/src/broker/mod.rs
+++ b/crates/proxy/src/broker/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_table;
 mod attempts;
 mod budgets;
+mod claims;
 mod endpoint_table;
 mod endpoints;
 mod handover;
@@ -214,6 +215,9 @@
             ProxyEvent::AttemptFinished { id, attempt, report } => {
                 self.on_attempt_report(AttemptKey::new(id, attempt), report);
             }
+            ProxyEvent::ClaimRefused { id, attempt, decision } => {
+                self.on_claim_refused(AttemptKey::new(id, attempt), decision);
+            }
             ProxyEvent::StreamFinished { id, attempt, report } => {
                 self.on_stream_finished(AttemptKey::new(id, attempt), report);
             }
--- a/crates/proxy/src/broker/request_table.rs
+++ b/crates/proxy/src/broker/request_table.rs
@@ -24,6 +24,9 @@
     /// The key that the request reads or writes, if the negative cache needs it.
     pub(super) touched_key: Option<wharfplank_negative_cache::Lookup>,
     pub(super) arrived_at: Micros,
+    pub(super) deadline: Micros,
+    /// Whether the write was claimed from the other proxies.
+    pub(super) is_claimed: bool,
     /// The outcomes of the attempts if the log counts requests; at most `max_attempts` entries.
     pub(super) attempt_outcomes: Vec<AttemptOutcomeAt>,
 }
--- a/crates/proxy/src/broker/requests.rs
+++ b/crates/proxy/src/broker/requests.rs
@@ -94,6 +94,8 @@
             session: request.session,
             touched_key,
             arrived_at: self.clock.to_micros(received.arrived_at),
+            deadline: request.deadline,
+            is_claimed: false,
             attempt_outcomes: Vec::new(),
         };
         self.requests.insert(request.id, open);
@@ -122,6 +124,7 @@
     pub(super) fn on_request_cancelled(&mut self, number: RequestNumber) {
         let Some(id) = self.requests.id_of(number) else { return };
         self.count_request_result(id, Disposition::Failed, "cancelled");
+        self.settle_abandoned_write(id);
         let attempts = self.finish(id, &FinalResponse::Cancelled).map_or(0, |request| request.attempts);
         let started = match self.attempt_policy.may_cancel {
             true => StartedAttempts::Cancel,
@@ -134,22 +137,12 @@
     /// Handles the disconnection of a client: its request needs no response any more.
     pub(super) fn on_client_disconnected(&mut self, number: RequestNumber) {
         let Some(id) = self.requests.id_of(number) else { return };
-        self.report_abandoned_write(id);
+        self.settle_abandoned_write(id);
         let attempts = self.close(id).map_or(0, |request| request.attempts);
         self.stop_attempts(id, attempts, StartedAttempts::Continue);
         self.notify_router(routing::Event::ClientDisconnected(id));
     }
 
-    /// Reports to gossip a request whose client disconnected while its last attempt was in flight: it may
-    /// still execute.
-    fn report_abandoned_write(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(id) else { return };
-        let last_attempt = AttemptKey::new(id, request.attempts.saturating_sub(1));
-        if self.attempts.contains(last_attempt) || self.streaming.contains(last_attempt) {
-            self.gossip.on_request_abandoned(self.clock.now(), id, request.class, &request.client_id);
-        }
-    }
-
     /// Closes the request of a finished attempt if its client has disconnected. The event for the
     /// disconnection may still be queued; handling it now ensures that nothing more is sent or looked up for
     /// the request.
--- a/crates/proxy/src/broker/router_actions.rs
+++ b/crates/proxy/src/broker/router_actions.rs
@@ -77,14 +77,14 @@
     }
 
     /// Rejects a request that the router sheds. The retry delay is rounded up to whole milliseconds.
-    fn reject(&mut self, id: RequestId, retry_after: Micros, reason: routing::RejectReason) {
+    pub(super) fn reject(&mut self, id: RequestId, retry_after: Micros, reason: routing::RejectReason) {
         self.count_request_result(id, Disposition::Rejected, record_reason(reason).name());
         self.record_request(id, |recorder, request| recorder.record_rejected(request, reason));
-        self.answer(id, FinalResponse::Rejected { retry_after_ms: (retry_after + 999) / 1000 });
+        self.answer_rejected(id, FinalResponse::Rejected { retry_after_ms: (retry_after + 999) / 1000 });
     }
 
     /// Fails a request that the router cannot serve.
-    fn fail(&mut self, id: RequestId, reason: routing::RejectReason) {
+    pub(super) fn fail(&mut self, id: RequestId, reason: routing::RejectReason) {
         if let Some(request) = self.requests.get(id) {
             self.gossip.on_request_failed(
                 self.clock.now(),
--- a/crates/proxy/src/gossip/config.rs
+++ b/crates/proxy/src/gossip/config.rs
@@ -1,6 +1,7 @@
 //! Converts the settings to the parameters of membership, failover and shared state.
 
 use crate::config::Config;
+use std::net::SocketAddrV4;
 use wharfplank_failover::{FailoverConfig, IsolationPolicy};
 use wharfplank_gossip::SwimConfig;
 use wharfplank_settings::{GossipSettings, MinorityBehavior, SharedStateSettings};
@@ -41,10 +42,14 @@
     }
 }
 
-pub(super) fn shared_state_config(settings: &SharedStateSettings) -> SharedStateConfig {
+pub(super) fn shared_state_config(
+    settings: &SharedStateSettings,
+    local_address: SocketAddrV4,
+) -> SharedStateConfig {
     SharedStateConfig {
         bytes_per_second: settings.bytes_per_second,
         exchange_interval: settings.sync_ms as i64 * 1000,
+        local_address,
         ..SharedStateConfig::default()
     }
 }
--- a/crates/proxy/src/gossip/mod.rs
+++ b/crates/proxy/src/gossip/mod.rs
@@ -110,7 +110,7 @@
 /// Creates this process's replica of the shared state, with the entries of its snapshot that are still
 /// valid.
 fn shared_state(settings: &SharedStateSettings, local_peer: &Peer, seed: u64, now: Micros) -> SharedState {
-    let config = config::shared_state_config(settings);
+    let config = config::shared_state_config(settings, local_peer.addr);
     let mut state = SharedState::new(replica_id(local_peer), config, seed, now);
     if let Some(path) = settings.snapshot() {
         snapshot::restore(&mut state, now, &path);
--- a/crates/proxy/src/gossip_client/mod.rs
+++ b/crates/proxy/src/gossip_client/mod.rs
@@ -7,19 +7,19 @@
 mod stall_detector;
 
 use super::gossip::FleetCounter;
-use abandoned_writes::AbandonedWrites;
+use abandoned_writes::{AbandonedWrite, AbandonedWrites};
 use member_index::MemberIndex;
 use stall_detector::StallDetector;
 use std::collections::HashSet;
 use std::sync::Arc;
 use wharfplank_health::Outcome;
 use wharfplank_protocol::endpoint_list::EndpointRecord;
-use wharfplank_protocol::pipeline::FinalResponse;
+use wharfplank_protocol::pipeline::{FinalResponse, RequestNumber};
 use wharfplank_routing::{
     AttemptOutcome, Class, ClassId, HostId, Idempotency, Micros, PeerObservation, RequestId,
 };
 use wharfplank_shared_state::{hash_name, MemberStatus, StateUpdate, WriteOutcome};
-use wharfplank_transport::gossip::{GossipHandle, MemberContact};
+use wharfplank_transport::gossip::{GossipHandle, MemberContact, PendingClaim};
 
 /// The broker's connection to the gossip thread.
 pub struct GossipClient {
@@ -206,10 +206,17 @@
 
     /// Handles the disconnection of a client during an attempt of its request, which may be executed. It is
     /// in doubt until the outcome of the attempt is known.
-    pub fn on_request_abandoned(&mut self, now: Micros, id: RequestId, class: ClassId, client_id: &str) {
+    pub fn on_request_abandoned(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        class: ClassId,
+        client_id: &str,
+        number: RequestNumber,
+    ) {
         if self.thread.is_some() && self.is_not_idempotent(class) {
             let write = hash_name(client_id);
-            self.abandoned_writes.insert(id, write);
+            self.abandoned_writes.insert(id, AbandonedWrite { write, number });
             self.report_write(now, write, WriteOutcome::InDoubt);
         }
     }
@@ -218,9 +225,34 @@
     pub fn on_attempt_finished(&mut self, now: Micros, id: RequestId, outcome: AttemptOutcome) {
         if let Some(settled) = self.abandoned_writes.on_attempt_finished(id, outcome) {
             self.report_write(now, settled.write, settled.outcome);
+            if settled.outcome == WriteOutcome::NotExecuted {
+                self.release_hashed_write(now, settled.write, settled.number);
+            }
         }
     }
 
+    /// Claims a write from the other proxies for a request that is about to send it. Returns `None` if the
+    /// request needs no claim.
+    pub fn claim_write(
+        &self,
+        now: Micros,
+        class: ClassId,
+        client_id: &str,
+        number: RequestNumber,
+    ) -> Option<PendingClaim> {
+        let thread = self.thread.as_ref().filter(|_| self.is_not_idempotent(class))?;
+        thread.claim_write(now, hash_name(client_id), number.0)
+    }
+
+    /// Releases the claim of a request whose write was not executed. Returns `None` if there are no peers.
+    pub fn release_write(&self, now: Micros, client_id: &str, number: RequestNumber) -> Option<PendingClaim> {
+        self.release_hashed_write(now, hash_name(client_id), number)
+    }
+
+    fn release_hashed_write(&self, now: Micros, write: u64, number: RequestNumber) -> Option<PendingClaim> {
+        self.thread.as_ref()?.release_write(now, write, number.0)
+    }
+
     fn is_not_idempotent(&self, class: ClassId) -> bool {
         self.not_idempotent.get(class.0) == Some(&true)
     }
--- a/crates/proxy/src/recording.rs
+++ b/crates/proxy/src/recording.rs
@@ -55,6 +55,7 @@
         RejectReason::DeadlineExceeded => FailureReason::DeadlineExceeded,
         RejectReason::AttemptsExhausted => FailureReason::AttemptsExhausted,
         RejectReason::MayHaveRun => FailureReason::MayHaveRun,
+        RejectReason::ClaimUnavailable => FailureReason::ClaimUnavailable,
         RejectReason::ShuttingDown => FailureReason::ShuttingDown,
         RejectReason::UnknownClass => FailureReason::UnknownClass,
         RejectReason::OverQuota => FailureReason::OverQuota,
--- a/crates/records/src/outcome.rs
+++ b/crates/records/src/outcome.rs
@@ -82,11 +82,13 @@
     /// A fleet-wide quota was used up.
     #[serde(rename = "OverBudget")]
     OverQuota,
+    /// The other proxies did not confirm in time that they have not sent the write.
+    ClaimUnavailable,
 }
 
 impl FailureReason {
     /// All reasons in the order of their codes.
-    pub const ALL: [FailureReason; 11] = [
+    pub const ALL: [FailureReason; 12] = [
         FailureReason::TooStale,
         FailureReason::NoPrimary,
         FailureReason::NoMember,
@@ -98,6 +100,7 @@
         FailureReason::ShuttingDown,
         FailureReason::UnknownClass,
         FailureReason::OverQuota,
+        FailureReason::ClaimUnavailable,
     ];
 
     /// Returns the name of the reason in reports.
@@ -114,6 +117,7 @@
             FailureReason::ShuttingDown => "closing",
             FailureReason::UnknownClass => "unusable",
             FailureReason::OverQuota => "over budget",
+            FailureReason::ClaimUnavailable => "claim unavailable",
         }
     }
 
--- a/crates/routing/src/api/actions.rs
+++ b/crates/routing/src/api/actions.rs
@@ -26,6 +26,8 @@
     AttemptsExhausted,
     /// An attempt may have run, and the request must not run twice.
     MayHaveRun,
+    /// The other proxies did not confirm in time that they have not sent the write.
+    ClaimUnavailable,
     /// The router's process is shutting down.
     ShuttingDown,
     /// The settings have no such request class.
--- a/crates/shared-state/src/anti_entropy.rs
+++ b/crates/shared-state/src/anti_entropy.rs
@@ -8,6 +8,7 @@
 //!
 //! No state is kept between the messages, so each may be lost, duplicated or delayed.
 
+use crate::claims::ClaimMessage;
 use crate::entry::Entry;
 use crate::key::Key;
 use crate::store::Store;
@@ -35,6 +36,8 @@
     /// Entries that the receiver lacked or held in an older version.
     #[serde(rename = "Fill")]
     Repair(Vec<(Key, Entry)>),
+    /// A message about the claim of a write. Proxies of earlier versions do not decode it.
+    Claim(ClaimMessage),
 }
 
 /// All entries that a proxy holds in a range of keys of one bucket.
--- a/crates/shared-state/src/lib.rs
+++ b/crates/shared-state/src/lib.rs
@@ -15,6 +15,7 @@
 //!   [`TokenBucket`].
 //! - [`anti_entropy`]: the exchange that repairs differences that rumours leave.
 //! - [`snapshot`]: the file encoding of a copy.
+//! - [`WriteClaims`]: claims by which the proxies keep each other from sending the same write.
 //! - [`InDoubtWrites`]: the outcomes of writes only, for the thread that serves requests.
 //! - [`Frame`]: the framing of these messages in datagrams shared with the membership.
 //!
@@ -41,6 +42,7 @@
 //! ```
 
 pub mod anti_entropy;
+mod claims;
 mod clock;
 mod entry;
 mod frame;
@@ -53,6 +55,10 @@
 mod token_bucket;
 mod value;
 
+pub use claims::{
+    ClaimDecision, ClaimId, ClaimMessage, ClaimRegistry, WriteClaims, CLAIM_TIMEOUT, MAX_PENDING_CLAIMS,
+    MAX_REGISTERED_CLAIMS, REGISTRARS,
+};
 pub use clock::{ClockSkewError, HybridClock, HybridTimestamp, MAX_CLOCK_SKEW};
 pub use entry::Entry;
 pub use frame::{Frame, TruncatedFrame, FRAME_OVERHEAD};
--- a/crates/shared-state/src/state/config.rs
+++ b/crates/shared-state/src/state/config.rs
@@ -2,6 +2,7 @@
 
 use crate::store::MAX_ENTRIES;
 use crate::Micros;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The configuration of a [`SharedState`](super::SharedState).
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,10 +13,17 @@
     pub exchange_interval: Micros,
     /// The maximum number of entries in the store.
     pub max_entries: usize,
+    /// The address by which peers know this proxy.
+    pub local_address: SocketAddrV4,
 }
 
 impl Default for SharedStateConfig {
     fn default() -> Self {
-        SharedStateConfig { bytes_per_second: 16_384, exchange_interval: 2_000_000, max_entries: MAX_ENTRIES }
+        SharedStateConfig {
+            bytes_per_second: 16_384,
+            exchange_interval: 2_000_000,
+            max_entries: MAX_ENTRIES,
+            local_address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+        }
     }
 }
--- a/crates/shared-state/src/state/exchange.rs
+++ b/crates/shared-state/src/state/exchange.rs
@@ -52,6 +52,7 @@
             }
             Message::DigestRequest(digests) => self.on_digest_request(now, from, &digests),
             Message::Ranges(ranges) => self.on_ranges(now, from, &ranges),
+            Message::Claim(message) => self.on_claim_message(now, from, message),
         }
     }
 
@@ -166,6 +167,11 @@
         }
         self.exchange_budget.consume(bytes.len());
         self.stats.exchange_bytes += bytes.len() as u64;
+        self.queue_datagram(to, bytes);
+    }
+
+    /// Queues a datagram. When the queue is full, the oldest one is dropped.
+    pub(super) fn queue_datagram(&mut self, to: SocketAddrV4, bytes: Vec<u8>) {
         if self.outgoing.len() >= MAX_OUTGOING {
             self.outgoing.remove(0);
             self.stats.dropped += 1;
--- a/crates/shared-state/src/state/mod.rs
+++ b/crates/shared-state/src/state/mod.rs
@@ -4,8 +4,10 @@
 //! - this module: the state, its timers and snapshots.
 //! - `local`: recording of this proxy's own observations.
 //! - `query`: queries over the entries of all proxies.
+//! - `claims`: claims of writes before they are sent.
 //! - `exchange`: handling of messages from peers.
 
+mod claims;
 mod config;
 mod exchange;
 mod local;
@@ -18,6 +20,7 @@
 pub use update::StateUpdate;
 
 use crate::anti_entropy::{Message, MAX_BODY_BYTES};
+use crate::claims::WriteClaims;
 use crate::clock::HybridClock;
 use crate::entry::Entry;
 use crate::key::Key;
@@ -57,6 +60,7 @@
     counters: BTreeMap<u32, LocalCounter>,
     outgoing: Vec<(SocketAddrV4, Vec<u8>)>,
     updates: UpdateQueue,
+    claims: WriteClaims,
     /// Counters of the work done.
     pub stats: Stats,
 }
@@ -79,6 +83,7 @@
             counters: BTreeMap::new(),
             outgoing: Vec::new(),
             updates: UpdateQueue::default(),
+            claims: WriteClaims::new(process, config.local_address),
             stats: Stats::default(),
             config,
         }
@@ -93,6 +98,7 @@
         }
         let has_new_peer = !peers.is_subset(&self.live_peers);
         self.live_peers = peers;
+        self.claims.set_live_peers(&self.live_peers);
         if self.live_peers.is_empty() {
             self.next_exchange_at = Micros::MAX;
         } else if has_new_peer {
@@ -118,6 +124,7 @@
             self.store.expire(now);
             self.refresh_counters(now);
         }
+        self.claims.tick(now);
         if now >= self.next_exchange_at && !self.live_peers.is_empty() {
             self.start_exchange(now);
         }
@@ -140,11 +147,12 @@
 
     /// Returns the time at which [`SharedState::tick`] is next due.
     pub fn next_due(&self) -> Micros {
-        self.next_exchange_at.min(self.next_expiry_at)
+        self.next_exchange_at.min(self.next_expiry_at).min(self.claims.next_due())
     }
 
     /// Takes the datagrams to send, each with its destination.
     pub fn take_datagrams(&mut self) -> Vec<(SocketAddrV4, Vec<u8>)> {
+        self.queue_claim_messages();
         std::mem::take(&mut self.outgoing)
     }
 
--- a/crates/shared-state/src/state/query.rs
+++ b/crates/shared-state/src/state/query.rs
@@ -1,8 +1,10 @@
 //! Queries over the entries of all proxies.
 
 use super::SharedState;
+use crate::entry::Entry;
 use crate::in_doubt::WriteRecord;
 use crate::key::Key;
+use crate::store::Store;
 use crate::value::Value;
 use wharfplank_health::ReportedObservation;
 
@@ -29,10 +31,7 @@
     /// Returns whether a write is known to have been, or may have been, executed and so must not be sent
     /// again.
     pub fn is_in_doubt(&self, write: u64) -> bool {
-        match self.value(&Key::WriteOutcome(write)) {
-            Some(Value::WriteOutcome(outcome)) => outcome.may_have_executed(),
-            _ => false,
-        }
+        is_in_doubt(&self.store, write)
     }
 
     /// Returns an iterator over the known outcomes of writes.
@@ -57,3 +56,11 @@
         })
     }
 }
+
+/// Returns whether a store holds that a write was, or may have been, executed.
+pub(super) fn is_in_doubt(store: &Store, write: u64) -> bool {
+    match store.get(&Key::WriteOutcome(write)).map(Entry::value) {
+        Some(Value::WriteOutcome(outcome)) => outcome.may_have_executed(),
+        _ => false,
+    }
+}
--- a/crates/shared-state/tests/encoding.rs
+++ b/crates/shared-state/tests/encoding.rs
@@ -2,7 +2,9 @@
 
 use wharfplank_health::HealthObservation;
 use wharfplank_shared_state::anti_entropy::{KeyRange, Message};
-use wharfplank_shared_state::{snapshot, Entry, HybridTimestamp, Key, MemberStatus, Value, WriteOutcome};
+use wharfplank_shared_state::{
+    snapshot, ClaimId, ClaimMessage, Entry, HybridTimestamp, Key, MemberStatus, Value, WriteOutcome,
+};
 
 fn entries() -> Vec<(Key, Entry)> {
     let timestamp = HybridTimestamp { wall: 1_000_003, counter: 2, process: 9 };
@@ -51,6 +53,17 @@
     assert_eq!(encoded(&Message::DigestRequest(vec![0, 1, u64::MAX])), "01030001ffffffffffffffffff01");
     assert_eq!(encoded(&Message::Ranges(vec![range])), format!("0201ac0200010305{ENTRIES}"));
     assert_eq!(encoded(&Message::Repair(entries())), format!("03{ENTRIES}"));
+    let (write, claim) = (300, ClaimId { process: 5, request: 6 });
+    let claims = [
+        (ClaimMessage::Register { write, claim }, "0400ac020506"),
+        (ClaimMessage::Granted(claim), "04010506"),
+        (ClaimMessage::Denied(claim), "04020506"),
+        (ClaimMessage::Release { write, claim }, "0403ac020506"),
+        (ClaimMessage::Released(claim), "04040506"),
+    ];
+    for (message, expected) in claims {
+        assert_eq!(encoded(&Message::Claim(message)), expected);
+    }
 }
 
 #[test]
--- a/crates/shared-state/tests/exchange_model.rs
+++ b/crates/shared-state/tests/exchange_model.rs
@@ -76,6 +76,7 @@
                     store.merge(*key, entry, NOW);
                 });
             }
+            Message::Claim(_) => unreachable!("exchanges make no claims"),
         }
         let kept = |(key, entry): (&Key, &Entry)| store.get(key).is_some_and(|e| e.value() >= entry.value());
         state.has_lost_entries |= !before.iter().all(kept);
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -5,7 +5,7 @@
 use wharfplank_discovery::{Staleness, WatchEvent};
 use wharfplank_protocol::pipeline::RequestNumber;
 use wharfplank_routing::{HostId, RequestId};
-use wharfplank_shared_state::StateUpdate;
+use wharfplank_shared_state::{ClaimDecision, StateUpdate};
 
 /// An event that the broker has to handle.
 #[derive(Debug)]
@@ -25,6 +25,15 @@
         /// The result of the attempt.
         report: member_pool::AttemptReport,
     },
+    /// An attempt was not sent, because the claim of its write was not granted.
+    ClaimRefused {
+        /// The request.
+        id: RequestId,
+        /// The number of the attempt within the request.
+        attempt: u32,
+        /// The decision on the claim.
+        decision: ClaimDecision,
+    },
     /// A streamed response ended.
     StreamFinished {
         /// The request.
--- a/crates/transport/src/gossip/driver.rs
+++ b/crates/transport/src/gossip/driver.rs
@@ -1,5 +1,6 @@
 //! The loop of the gossip worker.
 
+use super::claim::ClaimReplies;
 use super::observation::Observation;
 use super::{GossipLogEvent, GossipUpdate, GossipWorker, StallDetector};
 use crate::socket::open;
@@ -32,6 +33,7 @@
     pub(super) updates: RingSender<GossipUpdate>,
     /// The last shares that were reported to the broker.
     pub(super) reported_shares: BTreeMap<String, f64>,
+    pub(super) claim_replies: ClaimReplies,
     next_traffic_log_at: Micros,
     logged_digest: u64,
     next_digest_at: Micros,
@@ -91,6 +93,7 @@
             worker,
             updates,
             reported_shares: BTreeMap::new(),
+            claim_replies: ClaimReplies::default(),
             next_traffic_log_at: now + TRAFFIC_LOG_INTERVAL,
             logged_digest: 0,
             next_digest_at: now,
@@ -158,6 +161,7 @@
         self.exchange_votes(now);
         self.evaluate_health(now);
         self.tick_shared_state(now);
+        self.reply_to_claims();
         if self.worker.failover.evaluate(now) || !self.reported_shares.is_empty() {
             self.report_shares(now);
         }
--- a/crates/transport/src/gossip/handle.rs
+++ b/crates/transport/src/gossip/handle.rs
@@ -1,7 +1,8 @@
 //! The broker's handle to the gossip worker.
 
+use super::claim::ClaimRequest;
 use super::observation::{ListedEndpoint, MemberContact, Observation};
-use super::{StallDetector, UpdateQueue};
+use super::{PendingClaim, StallDetector, UpdateQueue};
 use crate::worker::RingSender;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -74,6 +75,32 @@
         is_behind || updates.borrow_mut().is_in_doubt(write)
     }
 
+    /// Claims a write for a request that is about to send it. Returns `None` if no claim is needed, because no
+    /// state is shared or the worker has ended.
+    pub fn claim_write(&self, now: Micros, write: u64, request: u64) -> Option<PendingClaim> {
+        self.send_claim(now, write, request, Observation::ClaimWrite)
+    }
+
+    /// Releases the claim of a request whose write was not executed.
+    pub fn release_write(&self, now: Micros, write: u64, request: u64) -> Option<PendingClaim> {
+        self.send_claim(now, write, request, Observation::ReleaseWrite)
+    }
+
+    fn send_claim(
+        &self,
+        now: Micros,
+        write: u64,
+        request: u64,
+        observation: impl FnOnce(ClaimRequest) -> Observation,
+    ) -> Option<PendingClaim> {
+        if !self.shares_state() || self.observations.borrow().is_closed() {
+            return None;
+        }
+        let (claim, pending) = PendingClaim::request(now, write, request);
+        self.send(observation(claim));
+        Some(pending)
+    }
+
     /// Reports a member of the endpoint list, with the time of its last start in Unix milliseconds.
     pub fn on_endpoint_listed(&self, member: u64, name: &str, zone: &str, started_at_ms: i64) {
         if self.evaluates_health {
--- a/crates/transport/src/gossip/mod.rs
+++ b/crates/transport/src/gossip/mod.rs
@@ -10,10 +10,12 @@
 //!   a bounded ring.
 //! - [`GossipUpdate`] and [`UpdateQueue`]: the worker's reports, and the serving thread's own copy of the
 //!   in-doubt writes.
+//! - [`PendingClaim`]: the wait for the decision on the claim of a write.
 //! - [`GossipWorker`]: the parts of the worker. `driver` is its loop, `datagrams` the traffic of its socket,
 //!   `observation` the broker's observations; `zones` and `health` drive the decisions.
 //! - [`StallDetector`]: whether the worker is stalled.
 
+mod claim;
 mod datagrams;
 mod driver;
 mod handle;
@@ -24,6 +26,7 @@
 mod updates;
 mod zones;
 
+pub use claim::PendingClaim;
 pub use handle::GossipHandle;
 pub use health::HealthEvaluator;
 pub use log::GossipLogEvent;
--- a/crates/transport/src/gossip/observation.rs
+++ b/crates/transport/src/gossip/observation.rs
@@ -1,5 +1,6 @@
 //! The broker's observations, and how the gossip worker processes them.
 
+use super::claim::ClaimRequest;
 use super::driver::Driver;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -41,6 +42,10 @@
     Counter { at: Micros, counter: u32 },
     /// The outcome of a write whose client received no success response.
     WriteOutcome { at: Micros, write: u64, outcome: WriteOutcome },
+    /// A write that is about to be sent.
+    ClaimWrite(ClaimRequest),
+    /// A claimed write that was not executed.
+    ReleaseWrite(ClaimRequest),
     /// A member of the endpoint list.
     EndpointListed(Box<ListedEndpoint>),
     /// The members that are still on the endpoint list.
@@ -65,6 +70,11 @@
     /// Processes an observation of the broker. For zones the time is when this thread receives the
     /// observation, since the stall that they account for is one of this thread.
     pub(super) fn on_observation(&mut self, now: Micros, observation: Observation) {
+        let observation = match observation {
+            Observation::ClaimWrite(claim) => return self.claim_write(claim),
+            Observation::ReleaseWrite(claim) => return self.release_write(claim),
+            other => other,
+        };
         let offset = self.worker.clock_offset;
         let worker = &mut self.worker;
         match (observation, &mut worker.shared_state, &mut worker.health) {
--- a/tests/common/proxy_process.rs
+++ b/tests/common/proxy_process.rs
@@ -173,6 +173,15 @@
         panic!("the process did not become ready");
     }
 
+    /// Waits until the log of the process has a line with this text.
+    pub fn wait_for_log(&self, text: &str) {
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while !std::fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text)) {
+            assert!(Instant::now() < deadline, "the log has no line with {text:?}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Waits for the process to exit; returns its exit code, or `None` if it did not exit in time or died by
     /// a signal. Which of the two it was is printed, with the state of a process that still runs.
     pub fn wait_for_exit(&mut self, limit: Duration) -> Option<i32> {
