Let no try of a write that was not executed hide the doubt of another

Cause: the replicated outcome is of the id, and copies merge by a maximum with in doubt < not executed < executed. 'Not executed' of one try was greater than the doubt of any other for 5 minutes.

Change: the order is not executed < in doubt < executed, with the same encoding, and proxies report no 'not executed' any more. A write whose attempt was sent when its client left stays in doubt; one whose attempt was still queued reports nothing and releases its claim. The table of abandoned writes goes.

--- a/crates/proxy/src/broker/attempts.rs
+++ b/crates/proxy/src/broker/attempts.rs
@@ -141,10 +141,8 @@
         });
     }
 
-    /// Reports the outcome of an attempt to gossip and the negative cache: a write may now be settled or in
-    /// doubt.
+    /// Reports the outcome of an attempt to the negative cache: a write may now be settled or in doubt.
     pub(super) fn report_attempt_end(&mut self, key: AttemptKey, outcome: AttemptOutcome) {
-        self.gossip.on_attempt_finished(self.clock.now(), key.request, outcome);
         self.negative_cache.on_attempt_finished(self.clock.now(), key.into(), outcome);
     }
 
--- a/crates/proxy/src/broker/claims.rs
+++ b/crates/proxy/src/broker/claims.rs
@@ -9,6 +9,7 @@
 use wharfplank_routing::{AttemptOutcome, Micros, RejectReason, RequestId};
 use wharfplank_shared_state::ClaimDecision;
 use wharfplank_transport::gossip::PendingClaim;
+use wharfplank_transport::member_pool::AttemptStage;
 
 /// The Retry-After span of a write that could not be claimed. Peers that have ended leave the membership
 /// within a few times this span.
@@ -44,13 +45,16 @@
     }
 
     /// Handles the write of a request whose client does not wait for the response any more. If its last
-    /// attempt is in flight, the write may still be executed; otherwise it was not, and is released.
+    /// attempt has been sent, the write may still be executed; otherwise it was not, and is released.
     pub(super) fn settle_abandoned_write(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(id) else { return };
         let now = self.clock.now();
         let last_attempt = AttemptKey::new(id, request.attempts.saturating_sub(1));
-        if self.attempts.contains(last_attempt) || self.streaming.contains(last_attempt) {
-            self.gossip.on_request_abandoned(now, id, request.class, &request.client_id, request.number);
+        // A queued attempt is not sent any more.
+        let is_in_flight =
+            self.attempts.stage(last_attempt).is_some_and(|stage| stage != AttemptStage::Queued);
+        if is_in_flight || self.streaming.contains(last_attempt) {
+            self.gossip.on_request_abandoned(now, request.class, &request.client_id);
         } else if request.is_claimed {
             self.gossip.release_write(now, &request.client_id, request.number);
         }
--- a/crates/proxy/src/gossip_client/mod.rs
+++ b/crates/proxy/src/gossip_client/mod.rs
@@ -2,12 +2,10 @@
 //! to the gossip thread, and converts the observations of other proxies to the router's representation. Every
 //! call does nothing if no peers are configured.
 
-mod abandoned_writes;
 mod member_index;
 mod stall_detector;
 
 use super::gossip::FleetCounter;
-use abandoned_writes::{AbandonedWrite, AbandonedWrites};
 use member_index::MemberIndex;
 use stall_detector::StallDetector;
 use std::collections::HashSet;
@@ -15,9 +13,7 @@
 use wharfplank_health::Outcome;
 use wharfplank_protocol::endpoint_list::EndpointRecord;
 use wharfplank_protocol::pipeline::{FinalResponse, RequestNumber};
-use wharfplank_routing::{
-    AttemptOutcome, Class, ClassId, HostId, Idempotency, Micros, PeerObservation, RequestId,
-};
+use wharfplank_routing::{AttemptOutcome, Class, ClassId, HostId, Idempotency, Micros, PeerObservation};
 use wharfplank_shared_state::{hash_name, MemberStatus, StateUpdate, WriteOutcome};
 use wharfplank_transport::gossip::{GossipHandle, MemberContact, PendingClaim};
 
@@ -28,7 +24,6 @@
     members: MemberIndex,
     /// Members that this proxy last reported as suspected.
     reported_suspects: HashSet<HostId>,
-    abandoned_writes: AbandonedWrites,
     /// For each class, whether its requests must not be executed twice.
     not_idempotent: Vec<bool>,
     stalls: StallDetector,
@@ -42,7 +37,6 @@
             thread: None,
             members: MemberIndex::default(),
             reported_suspects: HashSet::new(),
-            abandoned_writes: AbandonedWrites::default(),
             not_idempotent: classes.iter().map(not_idempotent).collect(),
             stalls: StallDetector::default(),
         }
@@ -204,30 +198,12 @@
         }
     }
 
-    /// Handles the disconnection of a client during an attempt of its request, which may be executed. It is
-    /// in doubt until the outcome of the attempt is known.
-    pub fn on_request_abandoned(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        class: ClassId,
-        client_id: &str,
-        number: RequestNumber,
-    ) {
-        if self.thread.is_some() && self.is_not_idempotent(class) {
-            let write = hash_name(client_id);
-            self.abandoned_writes.insert(id, AbandonedWrite { write, number });
-            self.report_write(now, write, WriteOutcome::InDoubt);
-        }
-    }
-
-    /// Handles the end of an attempt: reports the outcome of the write if its client had disconnected.
-    pub fn on_attempt_finished(&mut self, now: Micros, id: RequestId, outcome: AttemptOutcome) {
-        if let Some(settled) = self.abandoned_writes.on_attempt_finished(id, outcome) {
-            self.report_write(now, settled.write, settled.outcome);
-            if settled.outcome == WriteOutcome::NotExecuted {
-                self.release_hashed_write(now, settled.write, settled.number);
-            }
+    /// Handles a request whose client does not wait for the response any more while an attempt that was sent
+    /// is in flight. It stays in doubt even if this attempt turns out not to be executed: the client may have
+    /// sent it again meanwhile.
+    pub fn on_request_abandoned(&self, now: Micros, class: ClassId, client_id: &str) {
+        if self.is_not_idempotent(class) {
+            self.report_write(now, hash_name(client_id), WriteOutcome::InDoubt);
         }
     }
 
@@ -246,11 +222,7 @@
 
     /// Releases the claim of a request whose write was not executed. Returns `None` if there are no peers.
     pub fn release_write(&self, now: Micros, client_id: &str, number: RequestNumber) -> Option<PendingClaim> {
-        self.release_hashed_write(now, hash_name(client_id), number)
-    }
-
-    fn release_hashed_write(&self, now: Micros, write: u64, number: RequestNumber) -> Option<PendingClaim> {
-        self.thread.as_ref()?.release_write(now, write, number.0)
+        self.thread.as_ref()?.release_write(now, hash_name(client_id), number.0)
     }
 
     fn is_not_idempotent(&self, class: ClassId) -> bool {
--- a/crates/shared-state/src/value.rs
+++ b/crates/shared-state/src/value.rs
@@ -5,6 +5,7 @@
 use crate::clock::HybridTimestamp;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use wharfplank_health::HealthObservation;
 
 /// Whether a member is suspected.
@@ -17,15 +18,16 @@
     Suspected,
 }
 
-/// The known outcome of a write whose client received no answer. The ordering is the merge rule: a known
-/// outcome wins over an unknown one, and a report that the write was executed wins over a report that it was
-/// not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// The known outcome of a write whose client received no answer. The ordering is the merge rule.
+///
+/// A write may have been sent several times under its id. That one of these sends was not executed says
+/// nothing of the others, so a doubt wins over it, in whichever order they were reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum WriteOutcome {
     /// The write is in doubt: it may have been executed.
     #[serde(rename = "Open")]
     InDoubt,
-    /// The write was not executed: it may be sent again.
+    /// One of its sends was not executed. Only proxies of earlier versions report this.
     #[serde(rename = "NotRun")]
     NotExecuted,
     /// The write was executed.
@@ -34,12 +36,33 @@
 }
 
 impl WriteOutcome {
+    /// Returns the place in the ordering. The order of the variants is part of their encoding.
+    fn rank(self) -> u8 {
+        match self {
+            WriteOutcome::NotExecuted => 0,
+            WriteOutcome::InDoubt => 1,
+            WriteOutcome::Executed => 2,
+        }
+    }
+
     /// Returns whether the write was or may have been executed and so must not be sent again.
     pub fn may_have_executed(self) -> bool {
         matches!(self, WriteOutcome::InDoubt | WriteOutcome::Executed)
     }
 }
 
+impl Ord for WriteOutcome {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.rank().cmp(&other.rank())
+    }
+}
+
+impl PartialOrd for WriteOutcome {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// The value of an entry. Of two copies, the greater one is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Value {
