Serve no read by the position that a peer tells of a member

Cause: on_peer_observations raised a member's known position to what any peer told, past the member's own word, and reads up to it were sent there. No cap by own evidence is sound: a replica that catches up may apply the log faster than it grows.

Change: an observation names its source. A predecessor's position is a lower bound as before; a peer's is kept apart, serves nothing, and only makes the member worth a probe, whose answer decides.

--- a/crates/proxy/src/broker/handover/state.rs
+++ b/crates/proxy/src/broker/handover/state.rs
@@ -3,7 +3,7 @@
 use crate::broker::Broker;
 use wharfplank_admin::{ConnectionCounts, HandoverState, MemberKnowledge, MemberTraits};
 use wharfplank_protocol::endpoint_list::{self, EndpointList};
-use wharfplank_routing::{self as routing, MemberView, Micros, PeerObservation};
+use wharfplank_routing::{self as routing, MemberView, Micros, ObservationSource, PeerObservation};
 
 impl Broker {
     /// Reports to the router the observations of members inherited from the predecessor.
@@ -13,6 +13,7 @@
         let now = self.clock.now();
         let observations = inherited.into_iter().filter_map(|member| {
             Some(PeerObservation {
+                source: ObservationSource::Predecessor,
                 host: *self.endpoints.ids.get(&member.id)?,
                 position: member.position,
                 suspected_at: member.suspected_at,
--- a/crates/proxy/src/gossip_client/mod.rs
+++ b/crates/proxy/src/gossip_client/mod.rs
@@ -13,7 +13,9 @@
 use wharfplank_health::Outcome;
 use wharfplank_protocol::endpoint_list::EndpointRecord;
 use wharfplank_protocol::pipeline::{FinalResponse, RequestNumber};
-use wharfplank_routing::{AttemptOutcome, Class, ClassId, HostId, Idempotency, Micros, PeerObservation};
+use wharfplank_routing::{
+    AttemptOutcome, Class, ClassId, HostId, Idempotency, Micros, ObservationSource, PeerObservation,
+};
 use wharfplank_shared_state::{hash_name, MemberStatus, StateUpdate, WriteOutcome};
 use wharfplank_transport::gossip::{GossipHandle, MemberContact, PendingClaim};
 
@@ -162,8 +164,13 @@
     }
 
     fn peer_observation(&self, update: &StateUpdate) -> Option<PeerObservation> {
-        let observation =
-            |host, position, suspected_at| PeerObservation { host, position, suspected_at, traits: None };
+        let observation = |host, position, suspected_at| PeerObservation {
+            source: ObservationSource::Peer,
+            host,
+            position,
+            suspected_at,
+            traits: None,
+        };
         match *update {
             StateUpdate::Position { member, epoch, position } => {
                 let host = self.members.host(member)?;
--- a/crates/routing/src/api.rs
+++ b/crates/routing/src/api.rs
@@ -9,8 +9,8 @@
 
 pub use actions::{Action, MemberView, ProbePurpose, RejectReason, SlowStartSends, SlowStartView};
 pub use events::{
-    AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, LearnedTraits, PeerObservation,
-    ProbeResult, Request, Role, StreamedState,
+    AttemptOutcome, AttemptResult, Endpoint, EndpointStatus, Event, LearnedTraits, ObservationSource,
+    PeerObservation, ProbeResult, Request, Role, StreamedState,
 };
 pub use settings::{Class, Consistency, Idempotency, Settings, StaleReadPolicy};
 
--- a/crates/routing/src/api/events.rs
+++ b/crates/routing/src/api/events.rs
@@ -184,16 +184,27 @@
     RetriesAllowed(bool),
 }
 
+/// The router that made an observation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ObservationSource {
+    /// Another router of the fleet, which may be wrong.
+    Peer,
+    /// The router that this one succeeds.
+    Predecessor,
+}
+
 /// An observation of a member by another router.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerObservation {
+    /// The router that made it.
+    pub source: ObservationSource,
     /// The member.
     pub host: HostId,
     /// A log position that the member has reported since its last start; 0 for none.
     pub position: Micros,
     /// When a router began to suspect the member; 0 if none does.
     pub suspected_at: Micros,
-    /// The member's traits, if the observation is from the router that this one succeeds.
+    /// The member's traits; only from a predecessor.
     pub traits: Option<LearnedTraits>,
 }
 
--- a/crates/routing/src/policy/member.rs
+++ b/crates/routing/src/policy/member.rs
@@ -69,6 +69,9 @@
     pub(super) seen_at: Micros,
     /// The member's lag behind the router's clock at that time.
     pub(super) lag: Micros,
+    /// The newest position that other routers reported. They may be wrong, so it serves no read: it only
+    /// shows which member is worth a probe.
+    pub(super) reported_by_peers: Micros,
 }
 
 impl LogPosition {
@@ -80,6 +83,11 @@
         self.raise_to(position, now);
     }
 
+    /// Records a position that another router reported.
+    pub(super) fn observe_peer_report(&mut self, position: Micros) {
+        self.reported_by_peers = self.reported_by_peers.max(position);
+    }
+
     /// Raises the newest position to a known lower bound. A bound in the future counts as `now`.
     pub(super) fn raise_to(&mut self, position: Micros, now: Micros) {
         self.newest = self.newest.max(position.min(now));
--- a/crates/routing/src/policy/membership.rs
+++ b/crates/routing/src/policy/membership.rs
@@ -4,7 +4,7 @@
 use super::outliers::CONNECT_FAILED_SCORE;
 use super::{
     ConcurrencyLimit, Endpoint, EndpointStatus, EventRate, HostId, LearnedTraits, MemberView, Micros,
-    PeerObservation, Router, LISTED_ROLE_AGE,
+    ObservationSource, PeerObservation, Router, LISTED_ROLE_AGE,
 };
 use std::collections::BTreeSet;
 
@@ -128,13 +128,16 @@
         }
     }
 
-    /// Applies observations of other routers. A position is a lower bound and does not show that the member
-    /// is alive. A member suspected by another router is scored like one refused connection, unless it has
+    /// Applies observations of other routers. A position does not show that the member is alive. That of the
+    /// router's predecessor is a lower bound; those of peers, which may be wrong, are not relied on. A member suspected by another router is scored like one refused connection, unless it has
     /// answered this router since.
     pub(super) fn on_peer_observations(&mut self, observations: &[PeerObservation]) {
         for observation in observations {
             let Some(member) = self.members.get_mut(&observation.host) else { continue };
-            member.position.raise_to(observation.position, self.now);
+            match observation.source {
+                ObservationSource::Predecessor => member.position.raise_to(observation.position, self.now),
+                ObservationSource::Peer => member.position.observe_peer_report(observation.position),
+            }
             let is_suspected = observation.suspected_at > member.faults.answered_at;
             member.faults.raise_to(if is_suspected { CONNECT_FAILED_SCORE } else { 0.0 });
             if let Some(traits) = &observation.traits {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -50,9 +50,9 @@
 
 use super::api::{
     Action, AttemptNo, AttemptOutcome, AttemptResult, Class, ClassId, Consistency, Endpoint, EndpointStatus,
-    Event, GroupId, HostId, Idempotency, LearnedTraits, MemberView, Micros, PeerObservation, ProbePurpose,
-    ProbeResult, RejectReason, Request, RequestId, Role, SessionKey, Settings, SlowStartSends, SlowStartView,
-    StaleReadPolicy, StreamedState,
+    Event, GroupId, HostId, Idempotency, LearnedTraits, MemberView, Micros, ObservationSource,
+    PeerObservation, ProbePurpose, ProbeResult, RejectReason, Request, RequestId, Role, SessionKey, Settings,
+    SlowStartSends, SlowStartView, StaleReadPolicy, StreamedState,
 };
 use admission::ValueDensity;
 use attempts::MIN_TYPICAL_LATENCY;
--- a/crates/routing/src/policy/read_candidates.rs
+++ b/crates/routing/src/policy/read_candidates.rs
@@ -50,16 +50,21 @@
     /// When its position was last measured; 0 for never.
     pub(super) position_seen_at: Micros,
     pub(super) lag: Micros,
+    /// The newest position that other routers reported.
+    pub(super) position_reported_by_peers: Micros,
 }
 
 impl Candidate {
     /// Whether the replica may have reached the required position by `now`. The last measured position is
-    /// assumed to have advanced in real time while it is recent, and at the catch-up factor later.
+    /// assumed to have advanced in real time while it is recent, and at the catch-up factor later. Another
+    /// router may have measured a newer one.
     pub(super) fn may_have_reached(&self, required: RequiredPosition, now: Micros) -> bool {
         let age = (now - self.position_seen_at).min(MAX_POSITION_AGE);
         let assumed_progress = if age < RECENT_POSITION_AGE { age } else { CATCH_UP_FACTOR * age };
         let Some(minimum) = required.minimum() else { return false };
-        self.position_seen_at == 0 || self.position + assumed_progress >= minimum
+        self.position_seen_at == 0
+            || self.position + assumed_progress >= minimum
+            || self.position_reported_by_peers >= minimum
     }
 
     /// Whether the replica's recently measured lag would serve the read.
--- a/crates/routing/src/policy/read_routing.rs
+++ b/crates/routing/src/policy/read_routing.rs
@@ -137,6 +137,7 @@
             position: member.position.newest,
             position_seen_at: member.position.seen_at,
             lag: member.position.lag,
+            position_reported_by_peers: member.position.reported_by_peers,
         }
     }
 
--- a/tests/handover_traits.rs
+++ b/tests/handover_traits.rs
@@ -17,6 +17,7 @@
 
 fn traits(router: &TestRouter) -> Vec<PeerObservation> {
     let observation = |view: MemberView| PeerObservation {
+        source: ObservationSource::Predecessor,
         host: view.host,
         position: 0,
         suspected_at: 0,
