Count a streamed value until the client's system has taken it

Cause: chunks of streamed values counted until the client's connection took them from the queue; the output that waits for a slow client (64 KiB and more) counted nowhere. Each buffer was free up to 16 KiB, four chunks a stream.

Change: chunks count whole until they are written. While memory is scarce a stream holds one chunk of 16 KiB, and its member is not read before that is written. Chunks are moved, not copied, and a client's buffer is reserved before it grows.

The fake member writes long values in pieces, so that hundreds of them fit a test.

--- a/crates/transport/src/client_connection.rs
+++ b/crates/transport/src/client_connection.rs
@@ -24,6 +24,7 @@
 pub use response_writer::ResponseWriter;
 
 use crate::client_listener::{ClientListener, ConnectionState};
+use crate::response_stream::RowBytes;
 use crate::socket::stream::TcpConnection;
 use crate::ProxyEvent;
 use arrival_times::ArrivalTimes;
@@ -54,6 +55,8 @@
     discarded: usize,
     /// The streamed response that is being written.
     active_stream: Option<ActiveStream>,
+    /// The chunks of a streamed response whose bytes are in the output.
+    unwritten_rows: Vec<RowBytes>,
     delivery: DeliveryProgress,
 }
 
@@ -75,6 +78,7 @@
             arrival_times: ArrivalTimes::default(),
             discarded: 0,
             active_stream: None,
+            unwritten_rows: Vec::new(),
             delivery: DeliveryProgress::default(),
         }
     }
--- a/crates/transport/src/client_connection/input.rs
+++ b/crates/transport/src/client_connection/input.rs
@@ -94,10 +94,9 @@
         Ok(count)
     }
 
-    /// Provides buffer space to read into and reserves its memory. Returns false if the budget is exceeded.
+    /// Reserves the memory of the buffer space for the next read. Returns false if the budget is exceeded.
     fn reserve_read_buffer(&mut self) -> bool {
-        self.session.buffer.spare();
-        self.response_writer.read_buffer_size.set(self.session.buffer.capacity());
+        self.response_writer.read_buffer_size.set(self.session.buffer.next_capacity(0));
         self.response_writer.update_reservation()
     }
 
--- a/crates/transport/src/client_connection/output.rs
+++ b/crates/transport/src/client_connection/output.rs
@@ -154,6 +154,7 @@
                 None => return Err(CloseReason::ClientStalled),
             }
         }
+        self.unwritten_rows.clear();
         Ok(())
     }
 
--- a/crates/transport/src/client_connection/streaming.rs
+++ b/crates/transport/src/client_connection/streaming.rs
@@ -57,13 +57,14 @@
                 return StreamProgress::CutOff(None);
             }
             active.has_started = true;
-            output.append(&mut active.stream.first);
+            append(output, std::mem::take(&mut active.stream.first));
             return StreamProgress::Advanced;
         }
         match active.try_next() {
             Ok(StreamChunk::Row(mut row)) => {
                 active.stream.remaining = active.stream.remaining.saturating_sub(row.bytes.len());
-                output.append(&mut row.bytes);
+                append(output, std::mem::take(&mut row.bytes));
+                self.unwritten_rows.push(row);
                 StreamProgress::Advanced
             }
             Ok(StreamChunk::End(mut rest)) => {
@@ -114,3 +115,12 @@
         self.response_writer.finish_stream();
     }
 }
+
+/// Appends bytes to the output, without a copy if there is no other output.
+fn append(output: &mut Vec<u8>, mut bytes: Vec<u8>) {
+    if output.is_empty() {
+        *output = bytes;
+    } else {
+        output.append(&mut bytes);
+    }
+}
--- a/crates/transport/src/member_pool/connection.rs
+++ b/crates/transport/src/member_pool/connection.rs
@@ -2,6 +2,7 @@
 
 use super::end_reason::{EndReason, ReadError};
 use super::{AttemptReport, MemberPool};
+use crate::response_stream::{CHUNK_BYTES, SCARCE_CHUNK_BYTES};
 use crate::socket::peek;
 use crate::socket::stream::TcpConnection;
 use crate::{with_deadline, ConnectionEnd, MemoryReservation, Remote};
@@ -13,6 +14,7 @@
 use wharfplank_protocol::member_response::{
     MemberResponse, ProtocolError, ResponseEvent, ResponseKind, ResponseReader,
 };
+use wharfplank_protocol::read_buffer::ReadBuffer;
 use wharfplank_routing::AttemptOutcome;
 
 /// The time limit for the response to an empty query, which members send immediately.
@@ -23,8 +25,6 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// The maximum pause within a streamed row; longer, since its request can no longer be retried.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// The read size for streamed rows, in bytes, if the memory budget allows.
-const STREAM_READ_SIZE: usize = 64 * 1024;
 
 /// The result of a liveness check.
 pub(super) enum Liveness {
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Releases the memory of the read buffer if it is empty, for a connection that is not read for a while.
+    pub(super) fn release_read_buffer(&mut self) {
+        if self.reader.buffer.unread().is_empty() {
+            self.reader.buffer = ReadBuffer::default();
+            self.memory.charge(0);
+        }
+    }
+
     /// Closes the connection and reports this reason.
     pub(super) fn close(mut self, reason: EndReason) {
         self.end_reason = reason;
@@ -170,10 +178,10 @@
 
     /// Returns the minimum capacity of the read buffer.
     fn min_read_capacity(&self, streaming: bool) -> usize {
-        if streaming && self.memory.budget().available() >= STREAM_READ_SIZE {
-            STREAM_READ_SIZE
-        } else {
-            0
+        match streaming {
+            true if self.memory.budget().available() >= CHUNK_BYTES => CHUNK_BYTES,
+            true => SCARCE_CHUNK_BYTES,
+            false => 0,
         }
     }
 
--- a/crates/transport/src/member_pool/forwarder.rs
+++ b/crates/transport/src/member_pool/forwarder.rs
@@ -28,6 +28,10 @@
     pub async fn forward(mut self) -> AttemptReport {
         let deadline = Instant::now() + STREAM_TIMEOUT;
         loop {
+            if !self.sender.has_room() {
+                self.connection.release_read_buffer();
+                with_deadline(deadline, self.sender.wait_for_room()).await;
+            }
             let event = with_deadline(deadline, self.connection.read_event()).await;
             match event.unwrap_or(Err(ReadError::Stalled)) {
                 Ok(ResponseEvent::StreamChunk(bytes)) => {
--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -45,10 +45,15 @@
     /// budget is exceeded; the reservation is changed in any case.
     pub(crate) fn resize(&mut self, capacity: usize) -> bool {
         let charged = capacity.saturating_sub(MAX_RETAINED_CAPACITY);
-        let total = self.budget.reserved.get() - self.reserved + charged;
+        self.charge(charged);
+        charged == 0 || self.budget.reserved.get() <= self.budget.limit
+    }
+
+    /// Sets the reservation to this number of bytes, none of which are free.
+    pub(crate) fn charge(&mut self, bytes: usize) {
+        let total = self.budget.reserved.get() - self.reserved + bytes;
         self.budget.reserved.set(total);
-        self.reserved = charged;
-        charged == 0 || total <= self.budget.limit
+        self.reserved = bytes;
     }
 }
 
--- a/tests/common/fake_member.rs
+++ b/tests/common/fake_member.rs
@@ -38,9 +38,22 @@
     address
 }
 
-/// A row with one value of this many bytes.
-fn row(length: usize) -> Vec<u8> {
-    message(b'D', &[&b"\0\x01"[..], &(length as u32).to_be_bytes(), &vec![b'v'; length]].concat())
+/// The size of the pieces in which a long value is written.
+const PIECE: [u8; 64 * 1024] = [b'v'; 64 * 1024];
+
+/// Writes a row with one value of this many bytes.
+fn write_row(stream: &mut TcpStream, length: usize) -> std::io::Result<()> {
+    let message_length = (4 + 2 + 4 + length) as u32;
+    let header =
+        [&b"D"[..], &message_length.to_be_bytes(), b"\0\x01", &(length as u32).to_be_bytes()].concat();
+    stream.write_all(&header)?;
+    let mut remaining = length;
+    while remaining > 0 {
+        let count = remaining.min(PIECE.len());
+        stream.write_all(&PIECE[..count])?;
+        remaining -= count;
+    }
+    Ok(())
 }
 
 fn serve_connection(mut stream: TcpStream, role: &str, observe: &dyn Fn(&str)) -> Option<()> {
@@ -75,9 +88,9 @@
             requested if requested.starts_with("long ") => {
                 let length = requested.split(' ').nth(1).and_then(|length| length.parse().ok());
                 let length = length.expect("the length of a value");
-                stream
-                    .write_all(&[parts[0].clone(), row(length), parts[2].clone(), ready.clone()].concat())
-                    .ok()?;
+                stream.write_all(&parts[0]).ok()?;
+                write_row(&mut stream, length).ok()?;
+                stream.write_all(&[parts[2].clone(), ready.clone()].concat()).ok()?;
             }
             // No row, with the current position.
             requested if requested.starts_with("nothing") => {
