Remember the writes that were sent, so that none runs twice at one proxy

Cause: an id is held only while its request is open. What may have run was kept in the replicated state alone, which is off in the deploy file, and a write that was answered was kept nowhere.

Change: a write is recorded when it is sent and removed only if its request is rejected or its attempt was still queued; sent again, it fails with 58000. 16,384 ids, 5 minutes each.

Open: the other process of an upgrade does not hear of these writes.

--- a/crates/proxy/src/broker/claims.rs
+++ b/crates/proxy/src/broker/claims.rs
@@ -16,9 +16,11 @@
 const CLAIM_RETRY_AFTER: Micros = 500_000;
 
 impl Broker {
-    /// Claims the write of a request that is about to be sent; returns `None` if it needs no claim.
+    /// Records the write of a request that is about to be sent, and claims it from the other proxies; returns
+    /// `None` if it needs no claim.
     pub(super) fn claim_write(&mut self, now: Micros, id: RequestId) -> Option<PendingClaim> {
         let request = self.requests.get_mut(id)?;
+        self.sent_writes.insert(now, request.class, &request.client_id, request.number);
         let claim = self.gossip.claim_write(now, request.class, &request.client_id, request.number)?;
         request.is_claimed = true;
         Some(claim)
@@ -55,7 +57,10 @@
             self.attempts.stage(last_attempt).is_some_and(|stage| stage != AttemptStage::Queued);
         if is_in_flight || self.streaming.contains(last_attempt) {
             self.gossip.on_request_abandoned(now, request.class, &request.client_id);
-        } else if request.is_claimed {
+            return;
+        }
+        self.sent_writes.remove(&request.client_id, request.number);
+        if request.is_claimed {
             self.gossip.release_write(now, &request.client_id, request.number);
         }
     }
@@ -65,6 +70,7 @@
     pub(super) fn answer_rejected(&mut self, id: RequestId, answer: FinalResponse) {
         let now = self.clock.now();
         let Some(request) = self.finish(id, &answer) else { return };
+        self.sent_writes.remove(&request.client_id, request.number);
         let release = match request.is_claimed {
             true => self.gossip.release_write(now, &request.client_id, request.number),
             false => None,
--- a/crates/proxy/src/broker/mod.rs
+++ b/crates/proxy/src/broker/mod.rs
@@ -19,6 +19,7 @@
 mod request_table;
 mod requests;
 mod router_actions;
+mod sent_writes;
 mod shutdown;
 pub mod shutdown_timing;
 mod slow_start_log;
@@ -31,6 +32,7 @@
 use lifecycle::Lifecycle;
 use maintenance::MaintenanceTimers;
 use request_table::RequestTable;
+use sent_writes::SentWrites;
 use slow_start_log::SlowStartLog;
 use streaming::StreamingAttempts;
 
@@ -83,6 +85,7 @@
     recorder: DecisionRecorder,
     counts: ActivityCounts,
     requests: RequestTable,
+    sent_writes: SentWrites,
     attempts: AttemptTable,
     streaming: StreamingAttempts,
     endpoints: EndpointTable,
@@ -122,6 +125,7 @@
             recorder,
             counts: ActivityCounts::new(),
             requests: RequestTable::default(),
+            sent_writes: SentWrites::new(&config.settings.classes),
             attempts: AttemptTable::default(),
             streaming: StreamingAttempts::default(),
             endpoints: EndpointTable::default(),
--- a/crates/proxy/src/broker/requests.rs
+++ b/crates/proxy/src/broker/requests.rs
@@ -61,7 +61,7 @@
     }
 
     /// Converts a received request to the router's representation.
-    fn router_request(&self, now: Micros, class: ClassId, received: &ClientRequest) -> Request {
+    fn router_request(&mut self, now: Micros, class: ClassId, received: &ClientRequest) -> Request {
         let arrived_at = self.clock.to_micros(received.arrived_at);
         Request {
             id: request_id(received.number, &received.id),
@@ -71,7 +71,8 @@
             // The timeout counts from the arrival of the last byte, including the time queued behind other
             // requests.
             deadline: arrived_at + (Micros::from(received.timeout_ms) * 1000 - ANSWER_MARGIN).max(1),
-            may_have_run: self.gossip.may_have_run(now, &received.id),
+            may_have_run: self.sent_writes.contains(now, &received.id, received.number)
+                || self.gossip.may_have_run(now, &received.id),
             last_write_age: received.min_position_ms.map(|ms| now - ms.saturating_mul(1000)),
         }
     }
