Let other connections run beside clients that send without end

Cause: tasks give way only when a read or write waits, and a connection with input left never does. Traced with strace: one connection alone was read and written, no epoll_wait. The same in three places: the turns of a connection, the declining of all encryption requests in the read buffer, and the discarding of input before a close.

Change: a connection yields after each turn and pauses for 1 ms after four turns that leave input, so that the reactor polls; 32 encryption requests a turn; discarding pauses after 32 reads.

--- a/crates/lab/src/stand_ins/member_server.rs
+++ b/crates/lab/src/stand_ins/member_server.rs
@@ -166,7 +166,7 @@
     let command = match session.advance() {
         Ok(None) => return Input::Incomplete,
         Ok(Some(Command::Terminate | Command::Cancel(_))) | Err(_) => return Input::Closed,
-        Ok(Some(Command::Started)) => MemberCommand::Ignored,
+        Ok(Some(Command::Started | Command::EncryptionDeclined)) => MemberCommand::Ignored,
         Ok(Some(Command::EmptyQuery)) => MemberCommand::EmptyQuery,
         Ok(Some(Command::Query("SHOW load"))) => MemberCommand::LoadReport,
         Ok(Some(Command::Query(query))) => {
--- a/crates/protocol/src/client_session.rs
+++ b/crates/protocol/src/client_session.rs
@@ -29,6 +29,8 @@
 /// A command of a client.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Command<'a> {
+    /// A request for an encrypted connection; that it is declined is in the output.
+    EncryptionDeclined,
     /// The startup is complete, and the greeting is in the output.
     Started,
     /// A query without a statement.
@@ -125,22 +127,23 @@
     }
 
     fn advance_startup(&mut self) -> Result<Option<Command<'_>>, ProtocolViolation> {
-        loop {
-            let length = complete_message(&self.buffer, Framing::Untagged, MAX_STARTUP_BYTES)?;
-            let Some(length) = length else { return Ok(None) };
-            let range = self.buffer.consume(length);
-            match StartupRequest::parse(self.buffer.get(range))? {
-                StartupRequest::Encryption => self.output.push(b'N'),
-                StartupRequest::Cancel(key) => return Ok(Some(Command::Cancel(key))),
-                StartupRequest::Start { version, options } => {
-                    if version != PROTOCOL_VERSION_3 || !options.is_empty() {
-                        write_version_negotiation(&mut self.output, &options);
-                    }
-                    self.is_started = true;
-                    write_greeting(&mut self.output, self.cancel_key);
-                    self.write_ready();
-                    return Ok(Some(Command::Started));
+        let length = complete_message(&self.buffer, Framing::Untagged, MAX_STARTUP_BYTES)?;
+        let Some(length) = length else { return Ok(None) };
+        let range = self.buffer.consume(length);
+        match StartupRequest::parse(self.buffer.get(range))? {
+            StartupRequest::Encryption => {
+                self.output.push(b'N');
+                Ok(Some(Command::EncryptionDeclined))
+            }
+            StartupRequest::Cancel(key) => Ok(Some(Command::Cancel(key))),
+            StartupRequest::Start { version, options } => {
+                if version != PROTOCOL_VERSION_3 || !options.is_empty() {
+                    write_version_negotiation(&mut self.output, &options);
                 }
+                self.is_started = true;
+                write_greeting(&mut self.output, self.cancel_key);
+                self.write_ready();
+                Ok(Some(Command::Started))
             }
         }
     }
--- a/crates/transport/src/client_connection.rs
+++ b/crates/transport/src/client_connection.rs
@@ -28,13 +28,21 @@
 use crate::socket::stream::TcpConnection;
 use crate::ProxyEvent;
 use arrival_times::ArrivalTimes;
+use async_io::Timer;
+use commands::Dispatched;
 use delivery::DeliveryProgress;
+use futures_lite::future;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use streaming::ActiveStream;
 use wharfplank_protocol::client_session::ClientSession;
 
+/// The number of turns in a row that may leave input unprocessed before the connection pauses.
+const MAX_TURNS_WITH_INPUT_LEFT: u32 = 4;
+/// The duration of a pause.
+const PAUSE: Duration = Duration::from_millis(1);
+
 /// A connection to one client.
 pub(crate) struct ClientConnection {
     /// Shared because the connection also reads while a write is in progress.
@@ -53,6 +61,8 @@
     arrival_times: ArrivalTimes,
     /// The number of bytes read and discarded after the last accepted command.
     discarded: usize,
+    /// The number of turns in a row that left input unprocessed.
+    turns_with_input_left: u32,
     /// The streamed response that is being written.
     active_stream: Option<ActiveStream>,
     /// The chunks of a streamed response whose bytes are in the output.
@@ -77,6 +87,7 @@
             idle_since: None,
             arrival_times: ArrivalTimes::default(),
             discarded: 0,
+            turns_with_input_left: 0,
             active_stream: None,
             unwritten_rows: Vec::new(),
             delivery: DeliveryProgress::default(),
@@ -109,6 +120,22 @@
             if let Err(reason) = self.serve_once(listener).await {
                 return reason;
             }
+            self.let_others_run().await;
+        }
+    }
+
+    /// Lets other tasks run. The reads and writes of a client that sends continuously never wait, so after some
+    /// turns with input left it pauses, which also lets the reactor poll the sockets of other connections.
+    async fn let_others_run(&mut self) {
+        future::yield_now().await;
+        if self.session.buffer.unread().is_empty() {
+            self.turns_with_input_left = 0;
+            return;
+        }
+        self.turns_with_input_left += 1;
+        if self.turns_with_input_left >= MAX_TURNS_WITH_INPUT_LEFT {
+            self.turns_with_input_left = 0;
+            Timer::after(PAUSE).await;
         }
     }
 
@@ -116,8 +143,8 @@
     async fn serve_once(&mut self, listener: &ClientListener) -> Result<(), CloseReason> {
         // Registers before checking any state, so that no notification is missed.
         let notified = self.response_writer.listen();
-        self.dispatch_commands(listener).await?;
-        if self.write_responses(listener).await? {
+        let dispatched = self.dispatch_commands(listener).await?;
+        if self.write_responses(listener).await? || dispatched == Dispatched::Some {
             // Written responses may have freed capacity for further commands.
             return Ok(());
         }
--- a/crates/transport/src/client_connection/commands.rs
+++ b/crates/transport/src/client_connection/commands.rs
@@ -13,6 +13,8 @@
 enum Input {
     /// No complete command.
     Incomplete,
+    /// A request for an encrypted connection, which the session has declined.
+    EncryptionDeclined,
     /// The startup message.
     Started,
     /// An empty query.
@@ -29,17 +31,39 @@
     ProtocolViolation(ProtocolViolation),
 }
 
+/// The number of requests for an encrypted connection that are declined in one turn.
+const MAX_DECLINED_IN_A_ROW: u32 = 32;
+
+/// Which of the commands that may be handled now were handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Dispatched {
+    /// All of them.
+    All,
+    /// Some of them, so that other connections get their turn.
+    Some,
+}
+
 /// The length of a statement in bytes.
 struct StatementLength(usize);
 
 impl ClientConnection {
     /// Handles received commands while there is capacity for their responses.
-    pub(super) async fn dispatch_commands(&mut self, listener: &ClientListener) -> Result<(), CloseReason> {
+    pub(super) async fn dispatch_commands(
+        &mut self,
+        listener: &ClientListener,
+    ) -> Result<Dispatched, CloseReason> {
+        let mut declined = 0;
         while self.response_writer.has_capacity() {
             match self.next_input(listener) {
                 Input::Incomplete => {
                     self.track_incomplete_message();
-                    return Ok(());
+                    return Ok(Dispatched::All);
+                }
+                Input::EncryptionDeclined => {
+                    declined += 1;
+                    if declined >= MAX_DECLINED_IN_A_ROW {
+                        return Ok(Dispatched::Some);
+                    }
                 }
                 Input::Started => {
                     self.started = true;
@@ -75,7 +99,7 @@
             }
         }
         self.message_started_at = None;
-        Ok(())
+        Ok(Dispatched::All)
     }
 
     /// Parses the next command from the input.
@@ -83,6 +107,7 @@
         let arrived_at = self.front_command_arrival();
         match self.session.advance() {
             Ok(None) => Input::Incomplete,
+            Ok(Some(Command::EncryptionDeclined)) => Input::EncryptionDeclined,
             Ok(Some(Command::Started)) => Input::Started,
             Ok(Some(Command::EmptyQuery)) => Input::EmptyQuery,
             Ok(Some(Command::Terminate)) => Input::Terminate,
--- a/crates/transport/src/client_connection/input.rs
+++ b/crates/transport/src/client_connection/input.rs
@@ -4,9 +4,9 @@
 //! client must not be processed any further. So the connection keeps reading while it waits for other things,
 //! as far as buffer space allows; beyond that it polls the socket for the disconnect without reading.
 
-use super::{ClientConnection, CloseReason};
+use super::{ClientConnection, CloseReason, PAUSE};
 use async_io::Timer;
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::AsyncReadExt;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 const MAX_DISCARDED: usize = 16 * 1024 * 1024;
 /// The maximum number of consecutive reads, so that a client that sends continuously does not starve other
 /// tasks.
-const MAX_READS_IN_A_ROW: usize = 32;
+pub(super) const MAX_READS_IN_A_ROW: usize = 32;
 
 /// The purpose of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,7 +117,7 @@
                     count => self.discarded += count,
                 }
             }
-            future::yield_now().await;
+            Timer::after(PAUSE).await;
         }
         self.poll_for_disconnect().await
     }
--- a/crates/transport/src/client_connection/output.rs
+++ b/crates/transport/src/client_connection/output.rs
@@ -1,11 +1,12 @@
 //! Writing of responses in the order of their commands.
 
 use super::delivery::DeliveryProgress;
-use super::input::ReadMode;
+use super::input::{ReadMode, MAX_READS_IN_A_ROW};
 use super::streaming::StreamProgress;
-use super::{ClientConnection, CloseReason};
+use super::{ClientConnection, CloseReason, PAUSE};
 use crate::client_listener::{ClientListener, DrainPhase};
 use crate::with_deadline;
+use async_io::Timer;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::net::Shutdown;
 use std::rc::Rc;
@@ -111,7 +112,16 @@
     /// and the client could lose the error message.
     async fn linger(&mut self) {
         let mut sink = [0; 4096];
-        let discard = async { while matches!((&*self.stream).read(&mut sink).await, Ok(1..)) {} };
+        let discard = async {
+            let mut reads = 0;
+            while matches!((&*self.stream).read(&mut sink).await, Ok(1..)) {
+                reads += 1;
+                // A client that sends continuously would keep all other tasks from running.
+                if reads % MAX_READS_IN_A_ROW == 0 {
+                    Timer::after(PAUSE).await;
+                }
+            }
+        };
         with_deadline(Instant::now() + LINGER_TIME, discard).await;
     }
 
