--- a/crates/shared-state/src/claims/registrars.rs
+++ b/crates/shared-state/src/claims/registrars.rs
@@ -20,7 +20,7 @@
     pub(super) peers: Vec<SocketAddrV4>,
 }
 
-/// What is known of a live peer.
+/// The state of a live peer.
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerState {
     /// Whether it has ever sent a message about claims.
--- a/tests/common/fake_member.rs
+++ b/tests/common/fake_member.rs
@@ -39,7 +39,7 @@
 }
 
 /// The size of the pieces in which a long value is written.
-const PIECE: [u8; 64 * 1024] = [b'v'; 64 * 1024];
+static PIECE: [u8; 64 * 1024] = [b'v'; 64 * 1024];
 
 /// Writes a row with one value of this many bytes.
 fn write_row(stream: &mut TcpStream, length: usize) -> std::io::Result<()> {
