--- a/crates/routing/src/policy/membership.rs
+++ b/crates/routing/src/policy/membership.rs
@@ -129,8 +129,9 @@
     }
 
     /// Applies observations of other routers. A position does not show that the member is alive. That of the
-    /// router's predecessor is a lower bound; those of peers, which may be wrong, are not relied on. A member suspected by another router is scored like one refused connection, unless it has
-    /// answered this router since.
+    /// router's predecessor is a lower bound; those of peers, which may be wrong, are not relied on. A member
+    /// suspected by another router is scored like one refused connection, unless it has answered this router
+    /// since.
     pub(super) fn on_peer_observations(&mut self, observations: &[PeerObservation]) {
         for observation in observations {
             let Some(member) = self.members.get_mut(&observation.host) else { continue };
